--- a/packages/creed/include/creed/bundle.hpp
+++ b/packages/creed/include/creed/bundle.hpp
@@ -16,20 +16,41 @@
 
 struct Service {
     std::string name;
+    std::string health;                // path of its health answer; empty: none is asked for
+    std::size_t most_connections = 0;  // that a server accepts from all callers together; 0: not said
+};
+
+struct Split {
+    std::string service;
+    std::uint64_t weight = 1;
 };
 
 struct Route {
-    std::string name, path, service;
+    std::string name, path, service;  // service: of the first split
+    std::string host, prefix;         // either these, or path and methods
     std::vector<std::string> methods;
     std::vector<std::string> parts;  // "*" for one segment, "**" for the rest
+    std::vector<Split> splits;       // at least one, the weights' sum above 0
     bool write = false;
-    pith::Micros timeout = 0;
+    bool open = false;          // needs no key
+    pith::Micros timeout = 0;   // longest time that a request is held
+    pith::Micros aim = 0;       // an answer within it has its full worth; 0: not said
+    std::uint32_t priority = 0; // 0 is the highest
+    std::uint32_t tries = 3;    // servers that one try may be sent to, at most
 };
 
 struct Customer {
     std::string name;
-    double allowance = 0;  // visits a second, over the whole fleet
-    std::vector<std::string> routes;
+    double allowance = 0;  // requests a second, over the whole fleet; 0: no limit
+    double burst = 0;      // requests above it that may come at once
+    std::uint32_t priority = 0;
+    std::vector<std::string> routes;  // none: all
+};
+
+// What a client may send, and how long it may take (docs/api.md).
+struct Limits {
+    std::uint64_t header_bytes = 16 * 1024, body_bytes = 1024 * 1024;
+    pith::Micros header_time = 10 * pith::kSecond, idle_time = 30 * pith::kSecond;
 };
 
 struct Bundle {
@@ -41,6 +62,7 @@
     std::vector<Route> routes;
     std::map<std::string, Customer> customers;
     std::map<std::string, std::string> keys;  // digest of the key -> customer
+    Limits limits;
 };
 
 // What the data plane asks of the newest bundle.
