platform/: the resident; routes by host and prefix, open bundles, a dialect for the wire

Cause: the product stood outside its users' platform. platform/ translates settings and names; creed reads the open form (host, prefix, splits, open routes, several keys, limits); plan, front and relay spell the wire by a span::Dialect whose default is the product's own. Expected instances replace the identity exchange; surplus answers are told by the try's id; a success without the server's seal, or a promise that only the gateway may give, is never passed on. Ruled out: a translating process beside it (a request would pass two processes on a fifth of a core). Not run on the platform yet: keepers are still listed by name.

--- a/packages/creed/include/creed/bundle.hpp
+++ b/packages/creed/include/creed/bundle.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "pith/error.hpp"
@@ -12,7 +13,7 @@
 
 namespace creed {
 
-constexpr std::size_t kMaxBundle = 1024 * 1024;
+constexpr std::size_t kMaxBundle = 8 * 1024 * 1024;
 
 struct Service {
     std::string name;
@@ -68,25 +69,36 @@
 // What the data plane asks of the newest bundle.
 class Policy {
   public:
-    explicit Policy(Bundle b) : b_(std::move(b)) {}
+    explicit Policy(Bundle b);
     std::uint64_t number() const { return b_.number; }
     const Bundle& bundle() const { return b_; }
     const Customer* customer_of(const std::string& key) const;
     const Customer* customer(const std::string& name) const;
-    // Null where no route takes the path; `method_ok` false where the path is known but not the method.
-    const Route* match(const std::string& method, const std::string& path, bool* method_ok) const;
+    // Null where no route takes the path; `method_ok` false where the path is known but not the method. Routes with
+    // this host and the longest prefix come first, then those with a path.
+    const Route* match(const std::string& method, const std::string& path, bool* method_ok,
+                       const std::string& host = {}) const;
+    // Of the route's services the one for this try: by weight, and always the same (docs/design.md 7.1).
+    static const std::string& service_for(const Route& r, const std::string& try_id);
+    bool keyless() const { return b_.customers.empty(); }
     std::string methods(const std::string& path) const;  // for Allow: "GET, HEAD"
     static bool allowed(const Customer& c, const Route& r);
 
   private:
     Bundle b_;
+    std::unordered_map<std::string, std::map<std::string, std::size_t>> places_;  // host -> prefix -> route
+    std::vector<std::size_t> patterns_;                                         // routes with a path
 };
 using PolicyPtr = std::shared_ptr<const Policy>;
 
 std::string key_digest(const std::string& key);
 
-// Reads and checks the inner bundle's text.
-pith::Result<Bundle> read_bundle(const std::string& text);
+// Reads and checks the inner bundle's text. `open`: fields that are not known are passed over and names may hold more
+// than our own signs, as where a platform sends bundles unsigned (docs/api.md).
+pith::Result<Bundle> read_bundle(const std::string& text, bool open = false);
+
+// Among the signers: bundles count without a signature, and are kept and told on byte for byte as they were sent.
+constexpr const char* kUnsigned = "unsigned";
 
 // The signed form: {"bundle": {...}, "signer": hex, "signature": hex}.
 struct Signed {
--- a/packages/creed/src/openapi.cpp
+++ b/packages/creed/src/openapi.cpp
@@ -65,7 +65,7 @@
 
 pith::Result<std::string> routes_from_openapi(const std::string& text, const std::string& service,
                                               int timeout_ms) {
-    if (text.size() > kMaxBundle) return broken("the document is over 1 MiB: split it");
+    if (text.size() > kMaxBundle) return broken("the document is over 8 MiB: split it");
     boost::system::error_code ec;
     const json::value v = json::parse(text, ec);
     const json::object* o = ec ? nullptr : v.if_object();
--- a/packages/pith/src/settings.cpp
+++ b/packages/pith/src/settings.cpp
@@ -54,6 +54,40 @@
     return o;
 }
 
+// name, field, unit in it, least, most
+#define PITH_BOUNDS(X)                                   \
+    X(quota_window_s, quota_window_s, 1.0, 0.5, 600)     \
+    X(quota_over, quota_over, 1.0, 0, 10)                \
+    X(quota_slack, quota_slack, 1.0, 0, 1e9)             \
+    X(retry_window_s, retry_window_s, 1.0, 0.5, 600)     \
+    X(retry_ratio, retry_ratio, 1.0, 0, 100)             \
+    X(retry_slack, retry_slack, 1.0, 0, 1e9)             \
+    X(drain_ms, drain_us, 1000.0, 100, 3600000)          \
+    X(grace_s, grace_us, 1000000.0, 0.5, 3600)           \
+    X(config_ms, config_us, 1000.0, 100, 3600000)
+
+Result<Bounds> bounds(const json::value& v) {
+    Bounds b;
+    const json::object* o = v.if_object();
+    if (o == nullptr) return wrong("settings: \"bounds\" must be an object: see docs/operators.md");
+    for (const auto& e : *o) {
+        const std::string k(e.key());
+        const double n = e.value().is_number() ? e.value().to_number<double>() : -1;
+        bool known = false, well = true;
+#define X(name, f, unit, lo, hi)                                  \
+    if (k == #name) {                                             \
+        known = true;                                             \
+        well = n >= (lo) && n <= (hi);                            \
+        b.f = static_cast<decltype(b.f)>(n * (unit));             \
+    }
+        PITH_BOUNDS(X)
+#undef X
+        if (!known) return wrong("settings: bound \"" + k + "\" is not known: remove it or correct its name");
+        if (!well) return wrong("settings: bound \"" + k + "\" is no number in its range: see docs/operators.md");
+    }
+    return b;
+}
+
 void split(const std::string& s, std::vector<std::string>* o) {
     o->clear();
     std::stringstream ss(s);
@@ -88,8 +122,10 @@
         return wrong("settings: \"seeds\" must hold one to eight IP:PORT, usually three: set it");
     for (const auto& a : s.seeds)
         if (!address_ok(a)) return wrong("settings: seed \"" + a + "\" is not IP:PORT: correct it");
-    if (s.keepers.empty() || s.keepers.size() > 7)
-        return wrong("settings: \"keepers\" must list one to seven {name, address}, usually three: set it");
+    if (s.keepers.size() > 7)
+        return wrong(
+            "settings: \"keepers\" must list at most seven {name, address}, usually three, or none where they "
+            "are discovered: correct it");
     std::set<std::string> seen;
     bool me = false;
     for (const auto& k : s.keepers) {
@@ -100,7 +136,7 @@
             return wrong("settings: keeper \"" + k.name + "\" is listed twice: remove one");
         me = me || k.name == s.name;
     }
-    if (kp && !me)
+    if (kp && !me && !s.keepers.empty())
         return wrong("settings: this keeper's name is not in \"keepers\": add it there on every machine");
     if (kp && s.data.empty())
         return wrong("settings: \"data\" must name a folder on this machine's disk: set it");
@@ -108,12 +144,22 @@
         return wrong("settings: \"signers\" must hold at least one public key: make one with `helm keygen`");
     for (const auto& k : s.signers) {
         std::string b;
+        if (k == "unsigned") continue;
         if (!from_hex(k, &b) || b.size() != 32)
             return wrong("settings: signer \"" + k + "\" is not 64 hex digits: copy it from `helm keygen`");
     }
     if (s.log_level != "debug" && s.log_level != "info" && s.log_level != "warn" && s.log_level != "error")
         return wrong("settings: \"log_level\" must be debug, info, warn or error");
+    if (s.old_numbers != "refuse" && s.old_numbers != "acknowledge")
+        return wrong("settings: \"old_numbers\" must be refuse or acknowledge");
     if (s.threads < 1 || s.threads > 16) return wrong("settings: \"threads\" must be 1 to 16");
+    if (!s.ready_address.empty() && !address_ok(s.ready_address))
+        return wrong("settings: \"ready_address\" must be an IP number and a port, or be left out");
+    // Without a secret tags only keep fleets apart (docs/design.md 3.2).
+    if (s.secret_file == "none") {
+        from_hex(digest_hex("marblesaddle-fleet:" + s.fleet), &s.secret);
+        return s;
+    }
     auto t = read_file(s.secret_file, 4096);
     if (!t) return wrong("settings: \"secret_file\": " + t.error().message);
     while (!t->empty() && (t->back() == '\n' || t->back() == ' ' || t->back() == '\r')) t->pop_back();
@@ -130,6 +176,7 @@
                                const std::map<std::string, std::string>& flags) {
     Settings s;
     s.log_level = "info";
+    s.old_numbers = "refuse";
     if (!text.empty()) {
         boost::system::error_code ec;
         json::value v = json::parse(text, ec);
@@ -149,6 +196,20 @@
                 if (!x.is_int64()) return wrong("settings: \"threads\" must be a whole number");
                 s.threads =
                     static_cast<int>(std::min<std::int64_t>(1000, std::max<std::int64_t>(0, x.get_int64())));
+            } else if (key == "first_start") {
+                if (!x.is_bool()) return wrong("settings: \"first_start\" must be true or false");
+                s.first_start = x.get_bool();
+            } else if (key == "ready_address") {
+                if (!x.is_string()) return wrong("settings: \"ready_address\" must be a string");
+                s.ready_address = x.get_string().c_str();
+            } else if (key == "memory_mb" || key == "descriptors") {
+                if (!x.is_int64() || x.get_int64() < 1)
+                    return wrong("settings: \"" + key + "\" must be a whole number above 0, or be left out");
+                (key == "memory_mb" ? s.memory_mb : s.descriptors) = static_cast<std::size_t>(x.get_int64());
+            } else if (key == "bounds") {
+                auto b = bounds(x);
+                if (!b) return tl::unexpected<Error>(b.error());
+                s.bounds = *b;
             } else if (key == "seeds" || key == "signers") {
                 auto w = words(x, key);
                 if (!w) return tl::unexpected<Error>(w.error());
--- a/packages/span/include/span/errand.hpp
+++ b/packages/span/include/span/errand.hpp
@@ -19,12 +19,14 @@
     Refusal refusal;
     bool planned = false;  // the try id is noted
     bool queued = false;   // it stands in S
+    bool at_once = false;  // nobody's allowance is used: it may go now
 };
 
 class Lobby {
   public:
-    Lobby(tide::Basin& b, Pool& p, Tries& t, std::function<creed::PolicyPtr()> policy)
-        : basin_(b), pool_(p), tries_(t), policy_(std::move(policy)) {}
+    Lobby(tide::Basin& b, Pool& p, Tries& t, std::function<creed::PolicyPtr()> policy,
+          const Dialect& d = own_dialect())
+        : basin_(b), pool_(p), tries_(t), policy_(std::move(policy)), dialect_(d) {}
     // Plans it and puts it in the queue under `id`, or tells why not.
     void enter(pith::Micros now, tide::Id id, bool stopping, Entry* e);
     // Its pass came: the newest policy and the clock decide once more. False: turned away.
@@ -41,12 +43,14 @@
     Pool& pool_;
     Tries& tries_;
     std::function<creed::PolicyPtr()> policy_;
+    const Dialect& dialect_;
 };
 
 // Of a visit's time, kept for the server.
 constexpr pith::Micros kForServer = 300 * pith::kMilli;
 
-enum class Step { answered, unsent, lost, late, garbled };  // what came of an exchange
+// What came of an exchange. shed, misdirected: the server did not run it, and never will.
+enum class Step { answered, unsent, lost, late, garbled, shed, misdirected };
 // open: a session, then the exchange; wait: for a slot; pass: for a new pass, then passed() or no_pass().
 enum class Do { wait, open, pass, answer, refuse };
 
--- a/packages/span/include/span/hall.hpp
+++ b/packages/span/include/span/hall.hpp
@@ -68,7 +68,9 @@
 
 class Hall {
   public:
-    Hall(std::string node, std::string locality);
+    Hall(std::string node, std::string locality, const Dialect& d = own_dialect());
+
+    const Dialect& dialect;
 
     creed::PolicyPtr policy();
     void policy(creed::PolicyPtr p);
--- a/packages/span/include/span/plan.hpp
+++ b/packages/span/include/span/plan.hpp
@@ -7,6 +7,7 @@
 #include "creed/bundle.hpp"
 #include "pith/error.hpp"
 #include "pith/time.hpp"
+#include "span/dialect.hpp"
 
 namespace span {
 
@@ -16,6 +17,7 @@
 // What the head of a visit says, as read.
 struct Head {
     std::string method, target, key, try_id, deadline_ms, attempt;
+    std::string host{};
 };
 
 struct Plan {
@@ -24,13 +26,19 @@
     bool retry = false;         // a marked retry of the caller's
     pith::Micros deadline = 0;  // monotonic
     pith::Micros timeout = 0;   // for one try at a server
+    pith::Micros aim = 0;       // an answer within it has its full worth; 0: not said
+    pith::Micros offer_by = 0;  // unless it was handed to a server by then it is refused (docs/design.md 6.3)
+    std::uint32_t priority = 0; // 0 is the highest: the customer's first, then the route's
+    std::uint32_t tries = 3;    // servers that it may be sent to, at most
     std::uint64_t bundle = 0;
 };
 
 // Pure: the same head, policy and time give the same plan.
-pith::Result<Plan> plan(const Head& h, const creed::Policy* p, pith::Micros now);
+pith::Result<Plan> plan(const Head& h, const creed::Policy* p, pith::Micros now,
+                        const Dialect& d = own_dialect());
 // At release, and on sessions opened long ago: does the newest policy still allow the very same?
-pith::Result<Plan> plan_again(const Head& h, const creed::Policy* p, const Plan& old, pith::Micros now);
+pith::Result<Plan> plan_again(const Head& h, const creed::Policy* p, const Plan& old, pith::Micros now,
+                              const Dialect& d = own_dialect());
 
 // The gateway's own answer.
 struct Refusal {
--- a/packages/span/include/span/relay.hpp
+++ b/packages/span/include/span/relay.hpp
@@ -24,7 +24,7 @@
     explicit Session(boost::asio::io_context& io) : stream(io) {}
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buf;
-    pith::Micros idle_since = 0;
+    pith::Micros idle_since = 0, idle_for = 0;
     bool echoes = false;  // the server promised to name the try in every answer
 };
 
@@ -56,8 +56,10 @@
     std::unique_ptr<Session> open(const Slot& s, pith::Micros until, std::uint8_t* verdict,
                                   boost::asio::yield_context y);
     std::unique_ptr<Session> idle(const Slot& s);
-    Step exchange(Session& s, const Plan& p, const Visit& v, pith::Micros until, Reply* r, bool* keep,
-                  boost::asio::yield_context y);
+    Step exchange(Session& s, const Plan& p, const Slot& slot, const Visit& v, pith::Micros until, Reply* r,
+                  bool* keep, boost::asio::yield_context y);
+    void fill(const Plan& p, const Slot& slot, const Visit& v, pith::Micros left, Visit* q) const;
+    static void idle_time(const Reply& in, Session* s);
     void wait_in_line(const Plan& p, boost::asio::yield_context y);
     void keep(const Slot& s, std::unique_ptr<Session> x);
     static std::string key(const Slot& s) { return s.address + ' ' + s.instance + ' ' + s.service; }
--- a/packages/span/src/common.cpp
+++ b/packages/span/src/common.cpp
@@ -1,6 +1,7 @@
 #include "common.hpp"
 
 #include <cstdio>
+#include <mutex>
 
 namespace span {
 
@@ -11,7 +12,9 @@
 void Control::wait() {
     signals_.async_wait([this](boost::system::error_code ec, int n) {
         if (ec) return;
-        if (n == SIGHUP) {
+        if (n == SIGHUP && hup) {
+            hup();
+        } else if (n == SIGHUP) {
             debug_ = !debug_;
             pith::log_level(debug_ ? "debug" : set.log_level);
             log_event(Level::warn, "log_level",
@@ -116,9 +119,11 @@
     ctl->io.run();
     k.stop();
     // Coroutines that still wait are left as they are, not unwound: the process is about to go.
-    static std::vector<std::shared_ptr<pith::Service>>* kept = nullptr;
-    kept = new std::vector<std::shared_ptr<pith::Service>>{ctl, d};
-    return kept->empty() ? 1 : ctl->exit_code;
+    static std::mutex m;
+    static auto& kept = *new std::vector<std::shared_ptr<pith::Service>>;
+    std::lock_guard<std::mutex> l(m);
+    kept.insert(kept.end(), {ctl, d});
+    return ctl->exit_code;
 }
 
 void MetricsText::add(const char* name, const char* type, const char* help, const std::string& labels,
--- a/packages/span/src/common.hpp
+++ b/packages/span/src/common.hpp
@@ -40,6 +40,7 @@
 
     void common_desk();
     int exit_code = 0;
+    std::function<void()> hup;  // on SIGHUP, in place of changing the log level
 
   private:
     void wait();
@@ -59,6 +60,7 @@
   public:
     virtual pith::Result<bool> open() = 0;
 };
+std::shared_ptr<Daemon> make_keeper(pith::Kernel& k, const pith::Settings& s);
 // Runs until a signal ends it; gives the exit code.
 int run_daemon(pith::Kernel& k, const std::shared_ptr<Control>& ctl, const char* role,
                const std::shared_ptr<Daemon>& d);
--- a/packages/span/src/errand.cpp
+++ b/packages/span/src/errand.cpp
@@ -21,7 +21,7 @@
         e->refusal.retry_after = pith::kSecond;
         return;
     }
-    auto pl = plan(e->head, policy_().get(), now);
+    auto pl = plan(e->head, policy_().get(), now, dialect_);
     if (!pl) {
         e->refusal.error = pl.error();
         if (pith::kind_returns(pl.error().kind)) e->refusal.retry_after = pith::kSecond;
@@ -30,7 +30,8 @@
         return;
     }
     e->plan = *pl;
-    if (!tries_.begin(now, pl->customer, pl->try_id)) {
+    // A read may run again: its try need not be remembered where the dialect says nothing of tries seen before.
+    if ((dialect_.strict || pl->write) && !tries_.begin(now, pl->customer, pl->try_id)) {
         e->refusal.error = {
             Kind::try_seen,
             "this try id was seen before and may have run: ask for the state, or use a new id"};
@@ -45,10 +46,14 @@
         return;
     }
     if (!pl->retry) pool_.first_visit(pl->service);
+    if (pl->customer.empty()) {  // an open route: no network to wait in
+        e->queued = e->at_once = true;
+        return;
+    }
     // A pass that comes with the deadline is of no use: some of the time left is kept for the server
     // (docs/design.md 6.3).
     const Micros keep = std::min<Micros>((pl->deadline - now) / 4, kForServer);
-    const auto v = basin_.arrive(now, pl->customer, id, pl->deadline - keep);
+    const auto v = basin_.arrive(now, pl->customer, id, std::min(pl->offer_by, pl->deadline - keep));
     if (!v.queued) {
         e->refusal.error = {Kind::over_allowance,
                             "the customer's allowance is used up: come back after retry_after_ms"};
@@ -59,7 +64,7 @@
 }
 
 bool Lobby::released(Micros now, Entry* e) {
-    auto again = plan_again(e->head, policy_().get(), e->plan, now);
+    auto again = plan_again(e->head, policy_().get(), e->plan, now, dialect_);
     if (!again) {
         e->refusal.error = again.error();
         if (pith::kind_returns(again.error().kind)) e->refusal.retry_after = pith::kSecond;
@@ -83,7 +88,7 @@
 }
 
 void Lobby::end(const Entry& e, bool sent) {
-    if (e.planned && !sent) tries_.let_go(e.plan.customer, e.plan.try_id);
+    if (e.planned && !sent && (dialect_.strict || e.plan.write)) tries_.let_go(e.plan.customer, e.plan.try_id);
 }
 
 Do Errand::refuse(Kind k, const char* why) {
--- a/packages/span/src/front.cpp
+++ b/packages/span/src/front.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
+#include <cstdio>
 
 #include "pith/log.hpp"
 
@@ -18,9 +19,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxHead = 16 * 1024;
 constexpr std::uint64_t kMaxCallers = 4096;
-constexpr auto kHeadIn = std::chrono::seconds(10);
 constexpr auto kBodyIn = std::chrono::seconds(15);
 constexpr auto kWriteIn = std::chrono::seconds(10);
 
@@ -28,7 +27,8 @@
     return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
 }
 
-std::string field(const Visit& v, const char* n) {
+std::string field(const Visit& v, const std::string& n) {
+    if (n.empty()) return {};
     auto i = v.find(n);
     return i == v.end() ? std::string() : std::string(i->value());
 }
@@ -39,7 +39,7 @@
 }
 
 // Shapes by which two parties could see two different visits are refused (RFC 9112 6.3, 11.2).
-std::string smuggling(const Visit& v, const http::request_parser<http::string_body>& p) {
+std::string smuggling(const Visit& v, const http::request_parser<http::string_body>& p, const Dialect& d) {
     if (v.version() != 11) return "HTTP/1.1 is needed";
     if (times(v, "Host") != 1) return "exactly one Host is needed";
     if (times(v, "Content-Length") > 1 || times(v, "Transfer-Encoding") > 1) return "one length only";
@@ -48,26 +48,37 @@
         return "Content-Length and Transfer-Encoding exclude each other";
     if (te && !(p.chunked() && beast::iequals(v[http::field::transfer_encoding], "chunked")))
         return "only chunked is taken";
-    for (const char* n : {"Marble-Key", "Marble-Try", "Marble-Deadline-Ms", "Marble-Attempt"})
-        if (times(v, n) > 1) return std::string(n) + " stands there twice";
+    for (const std::string* n : {&d.key, &d.try_id, &d.deadline, &d.attempt})
+        if (!n->empty() && times(v, *n) > 1) return *n + " stands there twice";
     return {};
 }
 
-Reply refusal_reply(const Refusal& r, bool head) {
-    Reply a{http::status(pith::kind_status(r.error.kind)), 11};
+Reply refusal_reply(const Refusal& r, bool head, const Dialect& d) {
+    Reply a{http::status(d.status_of(r.error.kind)), 11};
     a.set(http::field::content_type, "application/json");
     a.set(http::field::cache_control, "no-store");
-    if (!r.try_id.empty()) a.set("Marble-Try", r.try_id);
-    if (r.retry_after > 0)
+    if (!r.try_id.empty()) a.set(d.try_id, r.try_id);
+    if (r.retry_after > 0 && d.fractions) {
+        char b[32];
+        std::snprintf(b, sizeof b, "%.3f", static_cast<double>(r.retry_after) / 1e6);
+        a.set(http::field::retry_after, b);
+    } else if (r.retry_after > 0) {
         a.set(http::field::retry_after, std::to_string((r.retry_after + pith::kSecond - 1) / pith::kSecond));
+    }
     if (!r.allow.empty()) a.set(http::field::allow, r.allow);
-    if (r.error.kind == Kind::key_unknown) a.set(http::field::www_authenticate, "Marble-Key");
+    if (r.error.kind == Kind::key_unknown) a.set(http::field::www_authenticate, d.key);
     a.body() = refusal_json(r);
     a.content_length(a.body().size());
     if (head) a.body().clear();
     return a;
 }
 
+std::string size_text(std::uint64_t n) {
+    constexpr std::uint64_t kKi = 1024;
+    if (n >= kKi * kKi && n % (kKi * kKi) == 0) return std::to_string(n / kKi / kKi) + " MiB";
+    return n % kKi == 0 ? std::to_string(n / kKi) + " KiB" : std::to_string(n) + " bytes";
+}
+
 // The caller's session closed while its visit waited.
 bool caller_left(tcp::socket& s) {
     char c;
@@ -125,8 +136,9 @@
 
 void Worker::visit(Visit& v, tcp::socket& s, Carried* c, asio::yield_context y) {
     Entry e;
-    e.head = {std::string(v.method_string()), std::string(v.target()),        field(v, "Marble-Key"),
-              field(v, "Marble-Try"),         field(v, "Marble-Deadline-Ms"), field(v, "Marble-Attempt")};
+    const Dialect& d = hall_.dialect;
+    e.head = {std::string(v.method_string()), std::string(v.target()), field(v, d.key),    field(v, d.try_id),
+              field(v, d.deadline),           field(v, d.attempt),     field(v, "Host")};
     ++hall_.tolls.visits;
     ++hall_.in_flight;
     auto w = std::make_shared<Waiter>(io);
@@ -135,7 +147,7 @@
     hall_.lobby.enter(began, id, hall_.stopping, &e);
     if (e.plan.retry) ++hall_.tolls.caller_retries;
     bool go = e.queued;
-    if (go && !wait_turn(e, id, w, s, y)) {
+    if (go && !e.at_once && !wait_turn(e, id, w, s, y)) {
         hall_.lobby.not_released(&e);
         go = false;
     }
@@ -172,16 +184,25 @@
     st.socket().set_option(tcp::no_delay(true), ec);
     for (bool more = true; more;) {
         http::request_parser<http::string_body> p;
-        p.header_limit(kMaxHead);
-        p.body_limit(kMaxBody);
+        const creed::PolicyPtr conf = hall_.policy();
+        const creed::Limits limits = conf ? conf->bundle().limits : creed::Limits{};
+        p.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        p.body_limit(limits.body_bytes);
         p.eager(true);
-        st.expires_after(kHeadIn);
+        // Between requests the idle time, from a request's first byte on the head's.
+        st.expires_after(std::chrono::microseconds(std::max(limits.idle_time, limits.header_time)));
+        if (buf.size() == 0) {
+            const std::size_t n = st.async_read_some(buf.prepare(4096), y[ec]);
+            buf.commit(n);
+            if (ec) return;
+        }
+        st.expires_after(std::chrono::microseconds(limits.header_time));
         http::async_read_header(st, buf, p, y[ec]);
         Carried c;
         bool head = false;
         if (!ec) {
             head = p.get().method() == http::verb::head;
-            const std::string bad = smuggling(p.get(), p);
+            const std::string bad = smuggling(p.get(), p, hall_.dialect);
             const auto ex = p.get()[http::field::expect];
             if (!bad.empty()) {
                 c.refusal.error = {Kind::bad_visit,
@@ -207,9 +228,9 @@
                 ec == http::error::partial_message || ec == asio::error::eof)
                 return;
             if (ec == http::error::body_limit)
-                c.refusal.error = {Kind::too_large, "the body is over 1 MiB: send less"};
+                c.refusal.error = {Kind::too_large, "the body is over " + size_text(limits.body_bytes) + ": send less"};
             else if (ec == http::error::header_limit)
-                c.refusal.error = {Kind::head_too_large, "the head is over 16 KiB: send less"};
+                c.refusal.error = {Kind::head_too_large, "the head is over " + size_text(limits.header_bytes) + ": send less"};
             else
                 c.refusal.error = {Kind::bad_visit,
                                    "not a sound HTTP/1.1 request (" + ec.message() + "): mend the caller"};
@@ -222,7 +243,7 @@
             visit(v, st.socket(), &c, y);
         }
         if (hall_.stopping || !hall_.ready) more = false;  // the platform gives the caller another machine
-        Reply a = c.answered ? std::move(c.reply) : refusal_reply(c.refusal, head);
+        Reply a = c.answered ? std::move(c.reply) : refusal_reply(c.refusal, head, hall_.dialect);
         c.trace.status = a.result_int();
         c.trace.end = c.answered ? "answered" : pith::kind_text(c.refusal.error.kind);
         c.trace.ran_unknown = !c.answered && c.refusal.ran_unknown;
--- a/packages/span/src/hall.cpp
+++ b/packages/span/src/hall.cpp
@@ -32,10 +32,11 @@
     return v;
 }
 
-Hall::Hall(std::string node, std::string locality)
-    : basin(tide::Tuning{}),
+Hall::Hall(std::string node, std::string locality, const Dialect& d)
+    : dialect(d),
+      basin(tide::Tuning{}),
       pool(std::move(node), std::move(locality), PoolTuning{}),
-      lobby(basin, pool, tries, [this] { return policy(); }) {}
+      lobby(basin, pool, tries, [this] { return policy(); }, d) {}
 
 creed::PolicyPtr Hall::policy() {
     Lock l(pm_);
--- a/packages/span/src/keeperd.cpp
+++ b/packages/span/src/keeperd.cpp
@@ -282,6 +282,10 @@
 
 }  // namespace
 
+std::shared_ptr<Daemon> make_keeper(pith::Kernel& k, const pith::Settings& s) {
+    return std::make_shared<Keeper>(k, s);
+}
+
 int run_keeper(const pith::Settings& s) {
     pith::Kernel k;
     return run_daemon(k, std::make_shared<Control>(s), "keeper", std::make_shared<Keeper>(k, s));
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -1,5 +1,7 @@
 #include "span/proxy.hpp"
 
+#include <thread>
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
@@ -26,7 +28,8 @@
 
 class Proxy : public Daemon {
   public:
-    Proxy(pith::Kernel& k, const pith::Settings& s) : kernel_(k), set_(s), hall_(s.name, s.locality) {}
+    Proxy(pith::Kernel& k, const pith::Settings& s, const Dialect& d = own_dialect())
+        : kernel_(k), set_(s), hall_(s.name, s.locality, d) {}
 
     void start() override {
         ctl_ = kernel_.find<Control>("control");
@@ -53,6 +56,12 @@
         if (!a) return tl::unexpected<pith::Error>(a.error());
         auto b = ctl_->desk.open(set_.operator_address);
         if (!b) return tl::unexpected<pith::Error>(b.error());
+        if (!set_.ready_address.empty()) {
+            ready_desk_ = std::make_unique<weft::Desk>(ctl_->io);
+            ready_on(*ready_desk_);
+            auto r = ready_desk_->open(set_.ready_address);
+            if (!r) return tl::unexpected<pith::Error>(r.error());
+        }
         auto c = front_->open(set_.visits);
         if (!c) return tl::unexpected<pith::Error>(c.error());
         log_event(Level::info, "started",
@@ -69,9 +78,12 @@
         for (auto& w : workers_) w->stop();
         ctl_->link.close();
         ctl_->desk.close();
+        if (ready_desk_) ready_desk_->close();
     }
 
   private:
+    void ready_on(weft::Desk& d);
+    void to_keeper(const weft::Ask& q, const weft::Desk::Reply& r);
     void arm() {
         if (armed_.exchange(true)) return;
         asio::post(ctl_->io, [this] {
@@ -143,7 +155,7 @@
 
     void list(asio::yield_context y) {
         ++hall_.tolls.listings;
-        weft::Ask q{weft::http::verb::get, "/v1/servers", 11};
+        weft::Ask q{weft::http::verb::get, hall_.dialect.list_target, 11};
         auto a = weft::call(ctl_->io, set_.platform, std::move(q), 2 * pith::kSecond, y);
         const Micros now = pith::mono_now();
         std::vector<weft::ServerRec> v;
@@ -235,9 +247,11 @@
     std::unique_ptr<ProxyCore> core_;
     std::vector<std::unique_ptr<Worker>> workers_;
     std::unique_ptr<Front> front_;
+    std::unique_ptr<weft::Desk> ready_desk_;
     std::unique_ptr<asio::steady_timer> tick_, pulse_, bye_;
     Farewell farewell_;
     std::atomic<bool> armed_{true}, probing_{false};
+    std::size_t turn_ = 0;
     bool draining_ = false, held_ = false;  // held: operators want no new callers here
     Micros next_sweep_ = 0, next_tick_ = 0;
     tide::Standing standing_ = tide::Standing::floor;
@@ -314,12 +328,34 @@
     return m.text();
 }
 
-void Proxy::desk() {
-    auto& d = ctl_->desk;
+void Proxy::ready_on(weft::Desk& d) {
     d.on("GET", "/ready", [this](const weft::Ask&, weft::Desk::Reply r) {
         r(hall_.ready ? weft::json_answer(200, "{\"ready\":true}\n")
                       : weft::json_answer(503, "{\"ready\":false}\n"));
     });
+}
+
+// Bundles are the keepers': the operator is sent on to one that lives, of this zone first (docs/design.md 8.2).
+void Proxy::to_keeper(const weft::Ask& q, const weft::Desk::Reply& r) {
+    std::vector<const knell::Member*> near, far;
+    for (const auto* m : core_->knell().live("keeper"))
+        (m->rec.locality == set_.locality ? near : far).push_back(m);
+    const auto& v = near.empty() ? far : near;
+    if (v.empty()) {
+        r(weft::error_answer({Kind::no_majority, "no keeper is known to live: come back in a second"}));
+        return;
+    }
+    const auto* to = v[turn_++ % v.size()];
+    weft::Answer a = weft::json_answer(307, "");
+    a.set(weft::http::field::location, "http://" + to->rec.operator_address + std::string(q.target()));
+    r(std::move(a));
+}
+
+void Proxy::desk() {
+    auto& d = ctl_->desk;
+    ready_on(d);
+    for (const char* m : {"GET", "POST"})
+        d.on(m, "/v1/bundle", [this](const weft::Ask& q, weft::Desk::Reply r) { to_keeper(q, r); });
     d.on("POST", "/v1/node", [this](const weft::Ask& q, weft::Desk::Reply r) {
         if (!may_change(set_, q, r)) return;
         const std::string m = query(q, "mark");
@@ -408,4 +444,29 @@
     return run_daemon(k, std::make_shared<Control>(s), "proxy", std::make_shared<Proxy>(k, s));
 }
 
+int run_resident(const Resident& r) {
+    pith::Kernel k, kk;
+    auto ctl = std::make_shared<Control>(r.proxy);
+    if (r.reload) ctl->hup = r.reload;
+    std::shared_ptr<Control> kctl;
+    std::shared_ptr<Daemon> keeper;
+    std::thread t;
+    if (r.keeper) {
+        kctl = std::make_shared<Control>(*r.keeper);
+        kctl->hup = [] {};
+        keeper = make_keeper(kk, *r.keeper);
+        t = std::thread([&] {
+            // A keeper that can't go on is no reason to end what serves: the proxy goes on without it.
+            const int code = run_daemon(kk, kctl, "keeper", keeper);
+            if (code != 0) log_event(Level::error, "keeper_ended", {{"code", code}});
+        });
+    }
+    const int code = run_daemon(k, ctl, "proxy", std::make_shared<Proxy>(k, r.proxy, *r.dialect));
+    if (t.joinable()) {
+        kctl->io.stop();
+        t.join();
+    }
+    return code;
+}
+
 }  // namespace span
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -70,7 +70,7 @@
         char c;
         const auto n = ::recv(x->stream.socket().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
         const bool quiet = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (quiet && x->buf.size() == 0 && now - x->idle_since < kIdleFor) return x;
+        if (quiet && x->buf.size() == 0 && now - x->idle_since < x->idle_for) return x;
     }
     return {};
 }
@@ -87,6 +87,12 @@
     x->stream.async_connect(weft::endpoint(s.address), y[ec]);
     if (ec) return {};
     x->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    x->idle_for = kIdleFor;
+    if (!hall_.dialect.expect.empty()) {  // each request says whom it expects: nothing to prove
+        *verdict = 0;
+        x->echoes = hall_.dialect.echoes;
+        return x;
+    }
     http::request<http::empty_body> q{http::verb::get, "/.marble/identity", 11};
     q.set(http::field::host, s.address);
     give(*x, until);
@@ -122,31 +128,40 @@
     return x;
 }
 
-Step Relay::exchange(Session& s, const Plan& p, const Visit& v, Micros until, Reply* r, bool* keep,
-                     asio::yield_context y) {
+// The client's request as this server is to see it: the key stays here, the customer's name goes in its place.
+void Relay::fill(const Plan& p, const Slot& slot, const Visit& v, Micros left, Visit* q) const {
+    const Dialect& d = hall_.dialect;
+    q->method_string(v.method_string());
+    q->target(v.target());
+    q->version(11);
+    copy_fields(v, q);
+    q->erase(d.key);
+    q->erase(d.customer);
+    if (!p.customer.empty()) q->set(d.customer, p.customer);
+    q->set(d.try_id, p.try_id);
+    q->set(d.deadline, std::to_string(left / pith::kMilli));
+    if (!d.expect.empty()) q->set(d.expect, slot.instance);
+    q->body() = v.body();
+    const bool has_body =
+        !v.body().empty() || v.method() == http::verb::post || v.method() == http::verb::put;
+    if (has_body) q->content_length(v.body().size());
+}
+
+Step Relay::exchange(Session& s, const Plan& p, const Slot& slot, const Visit& v, Micros until, Reply* r,
+                     bool* keep, asio::yield_context y) {
     *keep = false;
-    Visit q;
-    q.method_string(v.method_string());
-    q.target(v.target());
-    q.version(11);
-    copy_fields(v, &q);
-    q.erase("Marble-Key");
-    q.set("Marble-Customer", p.customer);
-    q.set("Marble-Try", p.try_id);
     const Micros left = until - pith::mono_now();
     if (left <= 0) return Step::unsent;
-    q.set("Marble-Deadline-Ms", std::to_string(left / pith::kMilli));
-    q.body() = v.body();
-    q.prepare_payload();
+    Visit q;
+    fill(p, slot, v, left, &q);
     boost::system::error_code ec;
     give(s, until);
-    // From here on bytes may have reached the server (docs/design.md 7.4).
-    hall_.tries.sent(p.customer, p.try_id);
+    if (p.write) hall_.tries.sent(p.customer, p.try_id);  // before its first byte is handed over
     ++hall_.tolls.sends;
     http::async_write(s.stream, q, y[ec]);
     if (ec) return ec == beast::error::timeout ? Step::late : Step::lost;
-    // Interim answers (1xx) are passed over, a few at most.
-    for (int i = 0; i < 4; ++i) {
+    bool surplus = false;
+    for (int i = 0; i < 8; ++i) {
         http::response_parser<http::string_body> rp;
         rp.body_limit(kMaxAnswer);
         rp.skip(p.head_only);
@@ -161,23 +176,42 @@
         const int st = rp.get().result_int();
         if (st == 101) return Step::garbled;
         if (st >= 100 && st < 200) continue;
+        const Dialect& d = hall_.dialect;
         // An answer whose end is only the session's end can't be told from a cut one.
         const bool bodyless = p.head_only || st == 204 || st == 304;
         if (!bodyless && !rp.chunked() && !rp.content_length()) return Step::garbled;
-        const auto echo = rp.get().find("Marble-Try");
-        const bool named = echo != rp.get().end();
-        if (named ? echo->value() != p.try_id : s.echoes) return Step::garbled;  // another visit's answer
-        *keep = rp.keep_alive() && s.buf.size() == 0;
-        const Reply in = rp.release();
-        const auto lv = in.find("Marble-Leaving");
-        if (lv != in.end()) *keep = false;
-        *r = Reply{in.result(), 11};
-        r->reason(in.reason());
-        copy_fields(in, r);
-        r->body() = in.body();
+        const auto& in = rp.get();
+        const auto echo = in.find(d.try_id);
+        const bool named = echo != in.end();
+        if (named && echo->value() != p.try_id && !d.expect.empty()) {
+            // A surplus answer to an earlier request, come late: ours is still to come (docs/design.md 7.6).
+            surplus = true;
+            continue;
+        }
+        const bool not_run = !d.not_run.empty() && in.find(d.not_run) != in.end();
+        const bool another = !d.expect.empty() && st == 421;
+        if (named ? echo->value() != p.try_id : s.echoes && !not_run && !another) return Step::garbled;
+        *keep = rp.keep_alive() && s.buf.size() == 0 && !surplus;
+        const Reply got = rp.release();
+        idle_time(got, &s);
+        if (another) {
+            *keep = false;
+            return Step::misdirected;
+        }
+        if (not_run) return Step::shed;
+        // A promise that only we could give, from one that did not give it (docs/design.md 7.4).
+        const bool promise = st == 408 || st == 421 || st == 429 || st == 503;
+        if (!d.not_run.empty() && promise) return Step::lost;
+        if (st < 300 && !d.seal.empty() && got.find(d.seal) == got.end()) return Step::garbled;
+        if (!d.strict && got.find(http::field::content_encoding) != got.end()) return Step::garbled;
+        if (!d.leaving.empty() && got.find(d.leaving) != got.end()) *keep = false;
+        *r = Reply{got.result(), 11};
+        r->reason(got.reason());
+        copy_fields(got, r);
+        r->body() = got.body();
         if (bodyless) {
-            const auto cl = in.find(http::field::content_length);
-            if (cl != in.end() && p.head_only) r->set(http::field::content_length, cl->value());
+            const auto cl = got.find(http::field::content_length);
+            if (cl != got.end() && p.head_only) r->set(http::field::content_length, cl->value());
         } else {
             r->content_length(r->body().size());
         }
@@ -186,6 +220,17 @@
     return Step::garbled;
 }
 
+// Keep-Alive: timeout=5 tells how long the server leaves an idle session open; we let it go a second earlier.
+void Relay::idle_time(const Reply& in, Session* s) {
+    const auto k = in.find(http::field::keep_alive);
+    if (k == in.end()) return;
+    const std::string w(k->value());
+    const auto at = w.find("timeout=");
+    if (at == std::string::npos) return;
+    const Micros t = std::atoi(w.c_str() + at + 8) * pith::kSecond;
+    s->idle_for = std::min(kIdleFor, std::max<Micros>(0, t - pith::kSecond));
+}
+
 void Relay::wait_in_line(const Plan& p, asio::yield_context y) {
     auto w = std::make_shared<Waiter>(io_);
     // Also looked at now and then: an ejected server may return without a slot being freed.
@@ -234,13 +279,14 @@
         if (e.sends() > 1) ++hall_.tolls.own_retries;
         bool sound = false;
         busy_.insert(x.get());
-        const Step st = exchange(*x, p, v, e.until(), &c->reply, &sound, y);
+        const Step st = exchange(*x, p, s, v, e.until(), &c->reply, &sound, y);
         busy_.erase(x.get());
         if (given_up_) e.give_up();
+        if (sound) keep(s, std::move(x));
         if (st == Step::answered) {
-            if (sound) keep(s, std::move(x));
-            if (c->reply.find("Marble-Leaving") != c->reply.end()) hall_.pool.leaving(s.address, s.instance);
-            c->reply.erase("Marble-Leaving");
+            const std::string& lv = hall_.dialect.leaving;
+            if (!lv.empty() && c->reply.find(lv) != c->reply.end()) hall_.pool.leaving(s.address, s.instance);
+            if (!lv.empty()) c->reply.erase(lv);
         }
         d = e.exchanged(pith::mono_now(), st, c->reply.result_int());
     }
@@ -278,7 +324,7 @@
         const bool stands =
             hall_.pool.stands(Slot{k.substr(0, a), k.substr(b + 1), k.substr(a + 1, b - a - 1)});
         auto& q = i->second;
-        while (!q.empty() && (!stands || now - q.front()->idle_since >= kIdleFor)) q.pop_front();
+        while (!q.empty() && (!stands || now - q.front()->idle_since >= q.front()->idle_for)) q.pop_front();
         i = q.empty() ? idle_.erase(i) : std::next(i);
     }
 }
--- a/packages/span/test/plan.cpp
+++ b/packages/span/test/plan.cpp
@@ -70,3 +70,53 @@
                "{\"kind\":\"over_allowance\",\"ran\":\"no\",\"message\":\"come "
                "back\",\"try\":\"t\\\"1\",\"retry_after_ms\":2}\n");
 }
+
+namespace {
+
+Dialect loose() {
+    Dialect d;
+    d.strict = false;
+    d.expect = "Expect-Instance";
+    return d;
+}
+
+creed::Policy open_policy(bool customers) {
+    const std::string t =
+        std::string(R"({"number":7,"routes":[)") +
+        R"({"name":"r","host":"h.example","prefix":"/a/","kind":"read","timeout_ms":800,"aim_ms":200,"priority":2,"service":"s","tries":2},)" +
+        R"({"name":"w","host":"h.example","prefix":"/b/","kind":"write","timeout_ms":300,"service":"s"},)" +
+        R"({"name":"o","host":"h.example","prefix":"/o/","kind":"read","timeout_ms":800,"service":"s","open":true}],)" +
+        R"("services":[{"name":"s"}])" +
+        (customers ? R"(,"customers":[{"name":"c","keys":["k"],"priority":1,"allowance_per_s":10,"burst":5}]})"
+                   : "}");
+    return creed::Policy(creed::read_bundle(t, true).value());
+}
+
+std::string said_loosely(const Head& h, const creed::Policy& p) {
+    auto r = plan(h, &p, 1000, loose());
+    if (!r) return pith::kind_text(r.error().kind);
+    return (r->customer.empty() ? "nobody" : r->customer) + " " + r->route + " by " + std::to_string(r->deadline) +
+           " offer " + std::to_string(r->offer_by) + " rank " + std::to_string(r->priority) + " tries " +
+           std::to_string(r->tries);
+}
+
+}  // namespace
+
+// Hosts and prefixes, open routes, bundles without customers, heads that leave something out.
+BOOST_AUTO_TEST_CASE(heads_of_another_dialect) {
+    const auto p = open_policy(true), q = open_policy(false);
+    const std::pair<Head, std::string> c[] = {
+        {{"GET", "/a/1?x=%20", "k", "t1", "500", "", "h.example"}, "c r by 501000 offer 51000 rank 1002 tries 2"},
+        {{"GET", "/a/%2e", "k", "t1", "500.7", "", "H.example:80"}, "c r by 501000 offer 51000 rank 1002 tries 2"},
+        {{"GET", "/a/1", "k", "t1", "", "", "h.example"}, "c r by 801000 offer 51000 rank 1002 tries 2"},
+        {{"POST", "/b/1", "k", "t1", "500", "", "h.example"}, "c w by 301000 offer 301000 rank 1000 tries 3"},
+        {{"GET", "/o/1", "", "t1", "500", "", "h.example"}, "nobody o by 501000 offer 501000 rank 0 tries 3"},
+        {{"GET", "/o/1", "unheard-of", "t1", "500", "", "h.example"}, "nobody o by 501000 offer 501000 rank 0 tries 3"},
+        {{"GET", "/a/1", "", "t1", "500", "", "h.example"}, "key_unknown"},
+        {{"GET", "/a/1", "z", "t1", "500", "", "h.example"}, "key_unknown"},
+        {{"GET", "/c/1", "z", "t1", "500", "", "h.example"}, "no_route"},
+        {{"GET", "/a/1", "k", "t1", "500", "", "g.example"}, "no_route"},
+    };
+    for (const auto& e : c) BOOST_TEST(said_loosely(e.first, p) == e.second, e.first.target);
+    BOOST_TEST(said_loosely(c[6].first, q) == "nobody r by 501000 offer 51000 rank 2 tries 2");
+}
--- a/packages/weft/include/weft/codec.hpp
+++ b/packages/weft/include/weft/codec.hpp
@@ -7,7 +7,7 @@
 
 namespace weft {
 
-constexpr std::size_t kMaxFrame = 2 * 1024 * 1024;
+constexpr std::size_t kMaxFrame = 16 * 1024 * 1024;
 constexpr std::size_t kMaxItems = 4096;
 
 class Writer {
--- a/packages/weft/src/desk.cpp
+++ b/packages/weft/src/desk.cpp
@@ -13,7 +13,7 @@
 using pith::Kind;
 
 namespace {
-constexpr std::size_t kMaxAsk = 2 * 1024 * 1024;
+constexpr std::size_t kMaxAsk = 8 * 1024 * 1024 + 65536;
 constexpr std::size_t kMaxAnswer = 8 * 1024 * 1024;
 constexpr std::size_t kMaxSessions = 64;
 constexpr auto kIdle = std::chrono::seconds(30);
@@ -86,7 +86,7 @@
             http::async_read(st, buf, p, y[ec]);
             if (ec) {
                 if (ec == http::error::body_limit || ec == http::error::header_limit) {
-                    Answer a = error_answer({Kind::too_large, "over 2 MiB: send less"});
+                    Answer a = error_answer({Kind::too_large, "over 8 MiB: send less"});
                     a.keep_alive(false);
                     http::async_write(st, a, y[ec]);
                 }
