--- a/packages/creed/src/bundle.cpp
+++ b/packages/creed/src/bundle.cpp
@@ -221,11 +221,15 @@
     const json::array* a = c->array(o, "customers", "", 1024);
     for (std::size_t i = 0; a != nullptr && i < a->size() && c->ok(); ++i) {
         const std::string at = "/customers/" + std::to_string(i);
-        const json::object* r = c->object((*a)[i], at, {"name", "allowance_per_s", "routes"}, {});
+        const json::object* r = c->object((*a)[i], at, {"name", "allowance_per_s", "routes"}, {"burst"});
         if (r == nullptr) return;
         Customer x;
         x.name = c->name(*r, "name", at);
         const json::value& v = r->at("allowance_per_s");
+        if (const json::value* bu = r->if_contains("burst")) {
+            x.burst = bu->is_number() ? bu->to_number<double>() : -1;
+            if (!(x.burst >= 0 && x.burst <= 1e6)) c->fault(at + "/burst", "must be a number from 0 to 1000000");
+        }
         x.allowance = v.is_number() ? v.to_number<double>() : 0;
         if (!(x.allowance >= 0.1 && x.allowance <= 100000))
             c->fault(at + "/allowance_per_s", "must be a number from 0.1 to 100000");
@@ -291,7 +295,7 @@
             const std::string n = c.name(*r, "name", at);
             for (const auto& e : b.services)
                 if (e.name == n) c.fault(at + "/name", "\"" + n + "\" is used twice: rename one");
-            b.services.push_back({n});
+            b.services.push_back({n, {}, 0});
         }
         if (c.ok()) read_routes(*o, &b, &c);
         if (c.ok()) read_customers(*o, &b, &c);
