--- a/packages/span/include/span/errand.hpp
+++ b/packages/span/include/span/errand.hpp
@@ -19,7 +19,7 @@
     Refusal refusal;
     bool planned = false;  // the try id is noted
     bool queued = false;   // it stands in S
-    bool at_once = false;  // nobody's allowance is used: it may go now
+    bool released = false; // a pass was there, or none is needed: it goes at once
 };
 
 class Lobby {
--- a/packages/span/include/span/hall.hpp
+++ b/packages/span/include/span/hall.hpp
@@ -68,7 +68,8 @@
 
 class Hall {
   public:
-    Hall(std::string node, std::string locality, const Dialect& d = own_dialect());
+    Hall(std::string node, std::string locality, const Dialect& d = own_dialect(), const tide::Tuning& t = {},
+         const PoolTuning& p = {});
 
     const Dialect& dialect;
 
--- a/packages/span/src/errand.cpp
+++ b/packages/span/src/errand.cpp
@@ -47,20 +47,21 @@
     }
     if (!pl->retry) pool_.first_visit(pl->service);
     if (pl->customer.empty()) {  // an open route: no network to wait in
-        e->queued = e->at_once = true;
+        e->released = true;
         return;
     }
     // A pass that comes with the deadline is of no use: some of the time left is kept for the server
     // (docs/design.md 6.3).
     const Micros keep = std::min<Micros>((pl->deadline - now) / 4, kForServer);
     const auto v = basin_.arrive(now, pl->customer, id, std::min(pl->offer_by, pl->deadline - keep));
-    if (!v.queued) {
+    e->released = v.released;
+    if (!v.queued && !v.released) {
         e->refusal.error = {Kind::over_allowance,
                             "the customer's allowance is used up: come back after retry_after_ms"};
-        e->refusal.retry_after = std::max<Micros>(v.retry_after, 100 * pith::kMilli);
+        e->refusal.retry_after = std::max<Micros>(v.retry_after, pith::kMilli);
         return;
     }
-    e->queued = true;
+    e->queued = v.queued;
 }
 
 bool Lobby::released(Micros now, Entry* e) {
@@ -84,7 +85,7 @@
     e->refusal.error = {
         Kind::over_allowance,
         "no pass came free in time under the customer's allowance: come back after retry_after_ms"};
-    e->refusal.retry_after = pith::kSecond;
+    e->refusal.retry_after = basin_.retry_after(e->plan.customer);
 }
 
 void Lobby::end(const Entry& e, bool sent) {
--- a/packages/span/src/hall.cpp
+++ b/packages/span/src/hall.cpp
@@ -32,10 +32,10 @@
     return v;
 }
 
-Hall::Hall(std::string node, std::string locality, const Dialect& d)
+Hall::Hall(std::string node, std::string locality, const Dialect& d, const tide::Tuning& t, const PoolTuning& p)
     : dialect(d),
-      basin(tide::Tuning{}),
-      pool(std::move(node), std::move(locality), PoolTuning{}),
+      basin(t),
+      pool(std::move(node), std::move(locality), p),
       lobby(basin, pool, tries, [this] { return policy(); }, d) {}
 
 creed::PolicyPtr Hall::policy() {
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -26,10 +26,22 @@
 
 constexpr Micros kPulse = 3 * pith::kMilli;  // how often queues are looked at, while anything waits
 
+// Where the operators' bound gives an allowance an error in requests, it is used (docs/design.md 6.5).
+tide::Tuning tide_tuning(const pith::Bounds& b) {
+    tide::Tuning t;
+    if (b.quota_slack <= 0) return t;
+    t.over = b.quota_over;
+    t.slack = b.quota_slack;
+    t.window = static_cast<Micros>(b.quota_window_s * 1e6);
+    return t;
+}
+
+PoolTuning pool_tuning(const pith::Bounds&) { return PoolTuning{}; }
+
 class Proxy : public Daemon {
   public:
     Proxy(pith::Kernel& k, const pith::Settings& s, const Dialect& d = own_dialect())
-        : kernel_(k), set_(s), hall_(s.name, s.locality, d) {}
+        : kernel_(k), set_(s), hall_(s.name, s.locality, d, tide_tuning(s.bounds), pool_tuning(s.bounds)) {}
 
     void start() override {
         ctl_ = kernel_.find<Control>("control");
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -243,7 +243,7 @@
 
 void Relay::carry(const Plan& p, const Visit& v, const More& more, const Allowed& allowed, Carried* c,
                   asio::yield_context y) {
-    Errand e(p, hall_.pool, [this, &p] { return hall_.basin.draw(pith::mono_now(), p.customer); });
+    Errand e(p, hall_.pool, [this, &p] { return p.customer.empty() || hall_.basin.draw(pith::mono_now(), p.customer); });
     e.allowed = allowed;
     e.slot_free = [this](const std::string& s) { hall_.slot_free(s); };
     const Micros began = pith::mono_now();
