--- a/packages/pith/include/pith/settings.hpp
+++ b/packages/pith/include/pith/settings.hpp
@@ -25,7 +25,8 @@
     X(data, "folder for what must last (keeper)")                                \
     X(secret_file, "file with the fleet's shared secret, 32 bytes as hex")       \
     X(log_level, "debug, info, warn or error")                                   \
-    X(operator_token, "word that helm must bring for commands that change a process")
+    X(operator_token, "word that helm must bring for commands that change a process") \
+    X(old_numbers, "refuse or acknowledge: pushes at or below the number that stands (keeper)")
 
 struct Settings {
 #define X(n, d) std::string n;
@@ -33,7 +34,8 @@
 #undef X
     int threads = 2;
     std::vector<std::string> seeds;
-    std::vector<Place> keepers;
+    std::vector<Place> keepers;  // none: they are discovered (docs/design.md 5.7)
+    bool first_start = false;    // this keeper may take part in founding the electorate
     std::vector<std::string> signers;
     std::string secret;  // read from secret_file, never logged
 };
--- a/packages/pith/src/settings.cpp
+++ b/packages/pith/src/settings.cpp
@@ -88,8 +88,10 @@
         return wrong("settings: \"seeds\" must hold one to eight IP:PORT, usually three: set it");
     for (const auto& a : s.seeds)
         if (!address_ok(a)) return wrong("settings: seed \"" + a + "\" is not IP:PORT: correct it");
-    if (s.keepers.empty() || s.keepers.size() > 7)
-        return wrong("settings: \"keepers\" must list one to seven {name, address}, usually three: set it");
+    if (s.keepers.size() > 7)
+        return wrong(
+            "settings: \"keepers\" must list at most seven {name, address}, usually three, or none where they "
+            "are discovered: correct it");
     std::set<std::string> seen;
     bool me = false;
     for (const auto& k : s.keepers) {
@@ -100,7 +102,7 @@
             return wrong("settings: keeper \"" + k.name + "\" is listed twice: remove one");
         me = me || k.name == s.name;
     }
-    if (kp && !me)
+    if (kp && !me && !s.keepers.empty())
         return wrong("settings: this keeper's name is not in \"keepers\": add it there on every machine");
     if (kp && s.data.empty())
         return wrong("settings: \"data\" must name a folder on this machine's disk: set it");
@@ -113,6 +115,8 @@
     }
     if (s.log_level != "debug" && s.log_level != "info" && s.log_level != "warn" && s.log_level != "error")
         return wrong("settings: \"log_level\" must be debug, info, warn or error");
+    if (s.old_numbers != "refuse" && s.old_numbers != "acknowledge")
+        return wrong("settings: \"old_numbers\" must be refuse or acknowledge");
     if (s.threads < 1 || s.threads > 16) return wrong("settings: \"threads\" must be 1 to 16");
     auto t = read_file(s.secret_file, 4096);
     if (!t) return wrong("settings: \"secret_file\": " + t.error().message);
@@ -130,6 +134,7 @@
                                const std::map<std::string, std::string>& flags) {
     Settings s;
     s.log_level = "info";
+    s.old_numbers = "refuse";
     if (!text.empty()) {
         boost::system::error_code ec;
         json::value v = json::parse(text, ec);
@@ -149,6 +154,9 @@
                 if (!x.is_int64()) return wrong("settings: \"threads\" must be a whole number");
                 s.threads =
                     static_cast<int>(std::min<std::int64_t>(1000, std::max<std::int64_t>(0, x.get_int64())));
+            } else if (key == "first_start") {
+                if (!x.is_bool()) return wrong("settings: \"first_start\" must be true or false");
+                s.first_start = x.get_bool();
             } else if (key == "seeds" || key == "signers") {
                 auto w = words(x, key);
                 if (!w) return tl::unexpected<Error>(w.error());
--- a/packages/pith/test/settings.cpp
+++ b/packages/pith/test/settings.cpp
@@ -51,6 +51,8 @@
         {R"(,"threads":"two")", "settings: \"threads\" must be a whole number"},
         {R"(,"threads":99)", "settings: \"threads\" must be 1 to 16"},
         {R"(,"log_level":"loud")", "settings: \"log_level\" must be debug, info, warn or error"},
+        {R"(,"first_start":"yes")", "settings: \"first_start\" must be true or false"},
+        {R"(,"old_numbers":"drop")", "settings: \"old_numbers\" must be refuse or acknowledge"},
         {R"(,"signers":["zz"])", "settings: signer \"zz\" is not 64 hex digits: copy it from `helm keygen`"},
     };
     for (const auto& e : c) {
@@ -65,6 +67,23 @@
         "settings: \"weft\" must be an IP number and a port, such as 10.0.0.4:7000: names are not looked up");
 }
 
+// Where no keepers are listed they are discovered (docs/design.md 5.7).
+BOOST_AUTO_TEST_CASE(no_keepers_need_be_listed) {
+    SecretFile f;
+    std::string t = text(R"(,"first_start":true,"old_numbers":"acknowledge")", f.path);
+    const std::string listed = R"("keepers":[{"name":"k1","address":"127.0.0.1:7101"}],)";
+    t.erase(t.find(listed), listed.size());
+    auto s = pith::read_settings("proxy", t, {});
+    BOOST_TEST_REQUIRE(pith::why(s) == "");
+    BOOST_TEST(s->keepers.empty());
+    BOOST_TEST(s->first_start);
+    BOOST_TEST(s->old_numbers == "acknowledge");
+    auto l = pith::read_settings("proxy", text("", f.path), {});
+    BOOST_TEST_REQUIRE(pith::why(l) == "");
+    BOOST_TEST(!l->first_start);
+    BOOST_TEST(l->old_numbers == "refuse");
+}
+
 BOOST_AUTO_TEST_CASE(log_lines_keep_one_event_per_line) {
     BOOST_TEST(pith::log_line("seen", {{"a", 1}, {"b", "two words"}, {"c", "x\ny\"z"}}) ==
                "event=seen a=1 b=\"two words\" c=\"x\\x0ay\\\"z\"");
