vault: an electorate founded once; old numbers acknowledged; fewer syncs a step

Electorate (docs/design.md 5.7). Cause: who has a vote stood in the settings only. Ruled out: majorities of soft membership (two sides of a split each have one), the first keeper founding alone, seeds as electors. Conclusion: a single founder with the written assent of all it names, seeds as witnesses of who asked before.

Old numbers (5.2). A push at or below what stands, or overtaken under way, is acknowledged once a majority has said that it holds what stands. Default as before: refused.

On a push's way, coordinator's promise, others' promises, commits: 10 before, 4 now. Ruled out: LMDB alone for promises (2 each); the folder's sync left out (not promised by POSIX); staged contents on disk (nothing ever read them). The file stays as it was, since operators and tests read it. Taking up a vote is one transaction, not one a promise.

Promises below the commit are let go but for 16; with 1024 a keeper refused all pushes for ever. Commits carry the hash alone; polls carry no content.

--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -10,6 +10,7 @@
 #include "span/pool.hpp"
 #include "tide/basin.hpp"
 #include "tide/worst.hpp"
+#include "vault/electorate.hpp"
 #include "vault/feed.hpp"
 
 namespace span {
@@ -66,6 +67,7 @@
     // How long until the next tick is due; shorter once a visit comes (docs/design.md 6.4).
     pith::Micros nap() const { return quiet_ ? t_.nap : t_.counts_soon; }
     pith::Micros soon() const { return t_.counts_soon; }
+    const vault::Follower& follower() const { return follower_; }
     const tide::Tally& tally() const { return tally_; }
     const std::map<std::string, tide::Worst>& worst() const { return worst_; }
     std::uint64_t refused_words() const { return refused_; }
@@ -79,6 +81,7 @@
 
     knell::Knell knell_;
     vault::Follower follower_;
+    bool discovered_;  // no keepers were listed (docs/design.md 5.7)
     CoreTuning t_;
     tide::Basin* basin_;
     Pool* pool_;
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -14,6 +14,7 @@
                      tide::Basin* basin, Pool* pool)
     : knell_(std::move(k)),
       follower_(keepers, t.feed_every),
+      discovered_(keepers.empty()),
       t_(t),
       basin_(basin),
       pool_(pool),
@@ -137,6 +138,11 @@
 
 void ProxyCore::tick(Micros now, Todo* d) {
     knell_.tick(now, &d->out);
+    if (discovered_) {
+        keepers_.clear();
+        for (const auto* m : knell_.live("keeper")) keepers_[m->rec.name] = m->rec.address;
+        follower_.roster(keepers_);
+    }
     for (auto& k : keepers_) {
         const std::string at = knell_.address(k.first);
         if (at.empty() || at == k.second) continue;
@@ -219,12 +225,23 @@
         return;
     }
     if (std::holds_alternative<weft::StateAsk>(e.msg)) {
-        if (policy_ == nullptr || keepers_.count(e.from) == 0) return;
+        const auto k = keepers_.find(e.from);
+        if (k == keepers_.end() || (policy_ == nullptr && !discovered_)) return;
+        const auto& q = std::get<weft::StateAsk>(e.msg);
         weft::StateSaid r;
-        r.commit = policy_->number();
-        r.hash = hash_;
-        r.text = text_;
-        d->out.push_back({keepers_[e.from], r});
+        if (policy_ != nullptr) {
+            r.commit = policy_->number();
+            r.hash = hash_;
+            if (q.commit < r.commit) r.text = text_;
+        }
+        if (discovered_) {  // a witness to the keepers' founding (docs/design.md 5.7)
+            r.nonce = q.nonce;
+            r.electors = follower_.electors();
+            r.founded = r.electors.empty() ? 0 : 1;
+            for (const auto& p : vault::keepers_known(knell_, now, vault::Electorate::Config{}.hold))
+                r.keepers.push_back(p.first);
+        }
+        d->out.push_back({k->second, r});
         return;
     }
     if (const auto* l = std::get_if<weft::Listing>(&e.msg)) {
--- a/packages/span/src/keeperd.cpp
+++ b/packages/span/src/keeperd.cpp
@@ -98,6 +98,8 @@
         v.name = set_.name;
         v.keepers = keeper_list(set_);
         v.signers = set_.signers;
+        v.first_start = set_.first_start;
+        v.acknowledge_old = set_.old_numbers == "acknowledge";
         const auto nonce =
             pith::hash64(set_.name + std::to_string(pith::wall_now()) + std::to_string(inc)) | 1;
         core_ = std::make_unique<vault::KeeperCore>(knell_config(set_, "keeper", inc), v, *h, nonce);
@@ -157,12 +159,27 @@
             voting_ = core_->vault().voting();
             log_event(Level::info, "voting", {{"now", voting_ ? "yes" : "no"}});
         }
+        const auto& el = core_->electorate();
+        if (core_->discovered() && (el.held().id != told_ || el.founded() != founded_)) {
+            told_ = el.held().id;
+            founded_ = el.founded();
+            log_event(Level::info, "electorate",
+                      {{"members", members(el.held())},
+                       {"founded", founded_ ? "yes" : "no"},
+                       {"founder", el.held().founder}});
+        }
         tick_->expires_after(std::chrono::microseconds(kTick));
         tick_->async_wait([this](boost::system::error_code ec) {
             if (!ec) tick();
         });
     }
 
+    static std::string members(const vault::Proposal& p) {
+        std::string s;
+        for (const auto& e : p.members) s += (s.empty() ? "" : ",") + e.name;
+        return s;
+    }
+
     void carry_out(vault::Acts& a) {
         ctl_->send(a.out);
         for (const auto& j : a.jobs) clerk_->add(j);
@@ -178,7 +195,8 @@
                 log_event(Level::info, "acknowledged", {{"number", *x.result}});
                 r(weft::json_answer(200,
                                     json::serialize(json::object{{"acknowledged", *x.result},
-                                                                 {"standing", core_->vault().commit()}}) +
+                                                                 {"standing", core_->vault().commit()},
+                                                                 {"hash", x.hash}}) +
                                         "\n"));
             } else {
                 log_event(
@@ -201,8 +219,17 @@
         o["hash"] = v.hash();
         o["ready"] = v.voting() && v.disk_ok();
         o["voting"] = v.voting();
+        o["spare"] = core_->discovered() && core_->electorate().founded() && !v.elector();
         o["disk"] = v.disk_ok() ? "well" : "failed";
         o["pushes"] = v.pending();
+        json::array el;
+        if (core_->discovered())
+            for (const auto& e : core_->electorate().held().members) el.emplace_back(e.name);
+        else
+            for (const auto& k : set_.keepers) el.emplace_back(k.name);
+        o["electorate"] = json::object{{"members", el},
+                                       {"listed", !core_->discovered()},
+                                       {"founded", !core_->discovered() || core_->electorate().founded()}};
         o["feed_place"] = core_->feed().place();
         json::array p;
         for (const auto& e : v.promises()) p.push_back(json::object{{"number", e.first}, {"hash", e.second}});
@@ -277,7 +304,8 @@
     std::unique_ptr<asio::steady_timer> tick_;
     std::map<std::uint64_t, weft::Desk::Reply> asked_;
     std::uint64_t op_ = 0;
-    bool voting_ = false;
+    std::uint64_t told_ = 0;  // the electorate, as logged last
+    bool voting_ = false, founded_ = false;
 };
 
 }  // namespace
--- a/packages/vault/include/vault/keeper.hpp
+++ b/packages/vault/include/vault/keeper.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "knell/knell.hpp"
+#include "vault/electorate.hpp"
 #include "vault/feed.hpp"
 #include "vault/vault.hpp"
 
@@ -21,18 +22,23 @@
 
     const knell::Knell& knell() const { return knell_; }
     const Vault& vault() const { return vault_; }
+    const Electorate& electorate() const { return electorate_; }
+    bool discovered() const { return discovered_; }
     const Feed& feed() const { return feed_; }
     const weft::Listing& listing() const { return listing_; }
     const std::map<std::string, weft::ChangeRec>& marks() const { return marks_; }
 
   private:
     void told(Acts* a);
+    void elected();
     void spread_feed(Acts* a);
     void take_mark(const weft::ChangeRec& c, Acts* a);
 
     knell::Knell knell_;
     Vault vault_;
     Feed feed_;
+    Electorate electorate_;
+    bool discovered_, elected_ = false;
     std::uint64_t fed_ = 0;
     std::map<std::string, std::uint64_t> floors_;  // on disk, or on its way there
     weft::Listing listing_;
--- a/packages/vault/src/disk.cpp
+++ b/packages/vault/src/disk.cpp
@@ -8,7 +8,10 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdlib>
 #include <cstring>
+#include <map>
+#include <sstream>
 
 #include "pith/hash.hpp"
 #include "pith/settings.hpp"
@@ -21,14 +24,18 @@
 struct Disk::Impl {
     MDB_env* env = nullptr;
     MDB_dbi dbi = 0;
-    int lock = -1;
-    std::uint64_t inc = 0;
+    int lock = -1, journal = -1;
+    std::uint64_t inc = 0, below = 0, commit = 0;
+    std::map<std::uint64_t, std::string> promises;
+    std::size_t lines = 0;
+    bool torn = false;  // a write to the journal failed: what its end holds is not known
 };
 
 Disk::Disk(std::string folder) : impl_(std::make_unique<Impl>()), folder_(std::move(folder)) {}
 
 Disk::~Disk() {
     if (impl_->env != nullptr) mdb_env_close(impl_->env);
+    if (impl_->journal >= 0) ::close(impl_->journal);
     if (impl_->lock >= 0) ::close(impl_->lock);
 }
 
@@ -54,6 +61,49 @@
     return pith::digest_hex(*body) == s.substr(0, 64);
 }
 
+// Promises are lines of a journal, one write and one sync each: "p NUMBER HASH CHECK", and "b NUMBER - CHECK"
+// where those of lower numbers were let go.
+constexpr const char* kJournal = "promises";
+constexpr std::size_t kMaxLines = 4096;
+
+std::string journal_line(char what, std::uint64_t n, const std::string& hash) {
+    const std::string s = std::string(1, what) + " " + std::to_string(n) + " " + hash + " ";
+    return s + pith::digest_hex(s).substr(0, 16) + "\n";
+}
+
+bool read_line(const std::string& l, char* what, std::uint64_t* n, std::string* hash) {
+    std::istringstream in(l);
+    std::string w, d, h, check;
+    if (!(in >> w >> d >> h >> check) || w.size() != 1 || (w != "p" && w != "b")) return false;
+    if (d.empty() || d.size() > 20 || d.find_first_not_of("0123456789") != std::string::npos) return false;
+    *what = w[0];
+    *n = std::strtoull(d.c_str(), nullptr, 10);
+    *hash = h;
+    return journal_line(*what, *n, h) == l + "\n";
+}
+
+// "FOUNDER ID adopted|- NAME=ADDRESS …": names and addresses hold neither spaces nor '='.
+std::string proposal_text(const Job& j) {
+    std::string s = (j.hash.empty() ? "-" : j.hash) + " " + std::to_string(j.number) +
+                    (j.text.empty() ? " -" : " adopted");
+    for (const auto& e : j.electors) s += " " + e.name + "=" + e.address;
+    return s;
+}
+
+Proposal read_proposal(const std::string& s) {
+    std::istringstream in(s);
+    Proposal p;
+    std::string adopted, e;
+    in >> p.founder >> p.id >> adopted;
+    if (p.founder == "-") p.founder.clear();
+    p.adopted = adopted == "adopted";
+    while (in >> e) {
+        const auto i = e.find('=');
+        if (i != std::string::npos) p.members.push_back({e.substr(0, i), e.substr(i + 1)});
+    }
+    return p;
+}
+
 std::string commit_name(std::uint64_t n) {
     std::string d = std::to_string(n);
     return "commit-" + std::string(20 - d.size(), '0') + d + ".json";
@@ -91,6 +141,12 @@
         if (key == "incarnation") impl_->inc = std::stoull(val);
         if (key.compare(0, 6, "floor/") == 0 && val.find(' ') != std::string::npos)
             h.floors[key.substr(6)] = {std::stoull(val), val.substr(val.find(' ') + 1)};
+        if (key == "proposal" && !h.elected) h.proposal = read_proposal(val);
+        if (key == "electorate") {
+            h.proposal = read_proposal(val);
+            h.elected = true;
+        }
+        if (key.compare(0, 10, "withdrawn/") == 0) h.withdrawn.insert(std::stoull(key.substr(10)));
         if (key.compare(0, 8, "promise/") == 0) h.promises[std::stoull(key.substr(8))] = val;
     }
     mdb_cursor_close(c);
@@ -117,14 +173,81 @@
         h.text = body.substr(65);
         break;
     }
+    auto j = read_promises(&h);
+    if (!j) return tl::unexpected<pith::Error>(j.error());
+    let_go(h.commit, &h.promises, &h.below);
+    impl_->promises = h.promises;
+    impl_->below = h.below;
+    impl_->commit = h.commit;
+    auto w = write_promises();
+    if (!w) return tl::unexpected<pith::Error>(w.error());
     return h;
 }
 
+pith::Result<bool> Disk::read_promises(Held* h) {
+    const std::string path = folder_ + "/" + kJournal;
+    if (::access(path.c_str(), F_OK) != 0) return true;
+    auto s = pith::read_file(path, 64 * 1024 * 1024);
+    if (!s) return tl::unexpected<pith::Error>(s.error());
+    std::size_t at = 0;
+    while (at < s->size()) {
+        const auto end = s->find('\n', at);
+        char what = 0;
+        std::uint64_t n = 0;
+        std::string hash;
+        const bool whole = end != std::string::npos && read_line(s->substr(at, end - at), &what, &n, &hash);
+        if (!whole) {
+            // The last one was torn as the power went: nobody was told of it. Any other is damage.
+            if (end == std::string::npos || end + 1 == s->size()) return true;
+            return bad("a line of " + path + " does not check",
+                       "promises may be lost; move the folder away, so that this keeper begins as an emptied one");
+        }
+        if (what == 'p')
+            h->promises[n] = hash;
+        else
+            h->below = std::max(h->below, n);
+        at = end + 1;
+    }
+    return true;
+}
+
+// The whole journal anew, and ready to be added to.
+pith::Result<bool> Disk::write_promises() {
+    if (impl_->journal >= 0) ::close(impl_->journal);
+    impl_->journal = -1;
+    std::string all;
+    if (impl_->below > 0) all += journal_line('b', impl_->below, "-");
+    for (const auto& p : impl_->promises) all += journal_line('p', p.first, p.second);
+    auto w = replace_file(kJournal, all);
+    if (!w) return w;
+    impl_->lines = impl_->promises.size() + 1;
+    const std::string path = folder_ + "/" + kJournal;
+    impl_->journal = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+    if (impl_->journal < 0) return bad("can't open " + path, std::strerror(errno));
+    return true;
+}
+
+pith::Result<bool> Disk::append_promise(const Job& j) {
+    const std::string l = journal_line('p', j.number, j.hash);
+    if (impl_->torn) return bad("can't write promises", "an earlier write failed");
+    const ssize_t n = ::write(impl_->journal, l.data(), l.size());
+    if (n != static_cast<ssize_t>(l.size()) || ::fdatasync(impl_->journal) != 0) {
+        impl_->torn = true;
+        return bad("can't sync promises", std::strerror(errno));
+    }
+    impl_->promises[j.number] = j.hash;
+    ++impl_->lines;
+    return true;
+}
+
 pith::Result<bool> Disk::write_file(const std::string& name, const std::string& text) {
+    return replace_file(name, pith::digest_hex(text) + "\n" + text);
+}
+
+pith::Result<bool> Disk::replace_file(const std::string& name, const std::string& all) {
     const std::string to = folder_ + "/" + name, tmp = to + ".new";
     int f = ::open(tmp.c_str(), O_CREAT | O_WRONLY | O_TRUNC | O_CLOEXEC, 0600);
     if (f < 0) return bad("can't write " + tmp, std::strerror(errno));
-    const std::string all = pith::digest_hex(text) + "\n" + text;
     std::size_t n = 0;
     while (n < all.size()) {
         const ssize_t w = ::write(f, all.data() + n, all.size() - n);
@@ -145,12 +268,21 @@
     return true;
 }
 
-pith::Result<bool> Disk::put(const std::string& key, const std::string& value) {
+// All in one transaction: one commit, which LMDB syncs itself.
+pith::Result<bool> Disk::put(const Pairs& pairs, const std::string& gone) {
     MDB_txn* t = nullptr;
     int rc = mdb_txn_begin(impl_->env, nullptr, 0, &t);
     if (rc != 0) return bad("can't write memory.mdb", mdb_strerror(rc));
-    MDB_val k{key.size(), const_cast<char*>(key.data())}, v{value.size(), const_cast<char*>(value.data())};
-    rc = mdb_put(t, impl_->dbi, &k, &v, 0);
+    for (const auto& p : pairs) {
+        MDB_val k{p.first.size(), const_cast<char*>(p.first.data())},
+            v{p.second.size(), const_cast<char*>(p.second.data())};
+        if (rc == 0) rc = mdb_put(t, impl_->dbi, &k, &v, 0);
+    }
+    if (rc == 0 && !gone.empty()) {
+        MDB_val k{gone.size(), const_cast<char*>(gone.data())};
+        rc = mdb_del(t, impl_->dbi, &k, nullptr);
+        if (rc == MDB_NOTFOUND) rc = 0;
+    }
     if (rc != 0) {
         mdb_txn_abort(t);
         return bad("can't write memory.mdb", mdb_strerror(rc));
@@ -162,22 +294,39 @@
 
 std::uint64_t Disk::next_incarnation() {
     ++impl_->inc;
-    return put("incarnation", std::to_string(impl_->inc)) ? impl_->inc : 0;
+    return put({{"incarnation", std::to_string(impl_->inc)}}) ? impl_->inc : 0;
 }
 
 pith::Result<bool> Disk::carry_out(const Job& j) {
-    if (j.what == Job::promise) {
-        auto w = write_file("staged-" + j.hash.substr(0, 16) + ".json", j.hash + "\n" + j.text);
-        if (!w) return w;
-        return put("promise/" + std::to_string(j.number), j.hash);
+    switch (j.what) {
+        case Job::promise:
+            return append_promise(j);
+        case Job::floor:
+            return put({{"floor/" + j.hash, std::to_string(j.number) + " " + j.text}});
+        case Job::commit: {
+            auto w = write_file(commit_name(j.number), j.hash + "\n" + j.text);
+            if (!w) return w;
+            impl_->commit = std::max(impl_->commit, j.number);
+            let_go(impl_->commit, &impl_->promises, &impl_->below);
+            return impl_->lines > kMaxLines && !impl_->torn ? write_promises() : w;
+        }
+        case Job::propose:
+            return put({{"proposal", proposal_text(j)}});
+        case Job::elect:
+            return put({{"electorate", proposal_text(j)}}, "proposal");
+        case Job::withdraw:
+            return put({{"withdrawn/" + std::to_string(j.number), "1"}}, "proposal");
+        case Job::drop:
+            return put({}, "proposal");
+        case Job::found:
+            break;
     }
-    if (j.what == Job::floor) return put("floor/" + j.hash, std::to_string(j.number) + " " + j.text);
-    if (j.what == Job::commit) return write_file(commit_name(j.number), j.hash + "\n" + j.text);
+    Pairs v{{"founded", "1"}};
     for (const auto& p : j.promises) {
-        auto w = put("promise/" + std::to_string(p.number), p.hash);
-        if (!w) return w;
+        v.emplace_back("promise/" + std::to_string(p.number), p.hash);
+        impl_->promises[p.number] = p.hash;
     }
-    return put("founded", "1");
+    return put(v);
 }
 
 }  // namespace vault
--- a/packages/vault/src/feed.cpp
+++ b/packages/vault/src/feed.cpp
@@ -20,6 +20,7 @@
     weft::FeedSaid r;
     r.feed = id_;
     r.place = place_;
+    r.electors = electors_;
     auto b = digest_.find("bundle");
     r.commit = b == digest_.end() ? 0 : b->second.number;
     const bool follows =
@@ -38,7 +39,7 @@
 weft::FeedSaid Feed::news() const { return answer(weft::FeedAsk{id_, place_ == 0 ? 0 : place_ - 1, 0}); }
 
 Follower::Follower(std::vector<std::pair<std::string, std::string>> keepers, pith::Micros period)
-    : period_(period) {
+    : discovered_(keepers.empty()), period_(period) {
     for (auto& k : keepers) tracks_[k.first].address = k.second;
 }
 
@@ -46,12 +47,38 @@
     commit_ = commit;
     for (auto& p : tracks_) {
         Track& t = p.second;
-        if (now < t.next) continue;
+        if (now < t.next || !t.live) continue;
         t.next = now + (t.digested ? period_ : period_ / 4);
         out->push_back({t.address, weft::FeedAsk{t.feed, t.place, commit}});
     }
 }
 
+void Follower::roster(const std::map<std::string, std::string>& live) {
+    for (const auto& k : live) {
+        auto i = tracks_.emplace(k.first, Track{}).first;
+        i->second.live = true;
+        readdress(k.first, k.second);
+    }
+    for (auto i = tracks_.begin(); i != tracks_.end();) {
+        if (live.count(i->first) == 0) i->second.live = false;
+        // What an elector told before it went still counts; of others nothing is kept.
+        const bool elector = std::any_of(electors_.begin(), electors_.end(),
+                                         [&i](const auto& e) { return e.name == i->first; });
+        i = i->second.live || elector || electors_.empty() ? std::next(i) : tracks_.erase(i);
+    }
+}
+
+bool Follower::ready() const {
+    if (!discovered_) return digested() >= tracks_.size() / 2 + 1;
+    if (electors_.empty()) return false;
+    std::size_t n = 0;
+    for (const auto& e : electors_) {
+        const auto i = tracks_.find(e.name);
+        n += i != tracks_.end() && i->second.digested ? 1 : 0;
+    }
+    return n >= electors_.size() / 2 + 1;
+}
+
 void Follower::readdress(const std::string& name, const std::string& address) {
     auto i = tracks_.find(name);
     if (i == tracks_.end() || address.empty() || i->second.address == address) return;
@@ -68,6 +95,7 @@
     auto i = tracks_.find(e.from);
     if (m == nullptr || i == tracks_.end()) return {};
     Track& t = i->second;
+    if (discovered_ && electors_.empty()) electors_ = m->electors;
     if (m->digest != 0) {
         if (m->feed == t.feed && m->place < t.place) return {};  // an old one, come late
         t.feed = m->feed;
--- a/packages/vault/src/keeper.cpp
+++ b/packages/vault/src/keeper.cpp
@@ -9,7 +9,11 @@
 }
 
 KeeperCore::KeeperCore(knell::Config k, VaultConfig v, Held h, std::uint64_t nonce)
-    : knell_(k), vault_(v, h, nonce), feed_(nonce) {
+    : knell_(k),
+      vault_(v, h, nonce),
+      feed_(nonce),
+      electorate_(Electorate::Config{v.name, k.address, k.seeds, v.first_start}, h, nonce),
+      discovered_(v.keepers.empty()) {
     for (const auto& f : h.floors) {
         knell_.accept(f.first, f.second.first, f.second.second);
         floors_[f.first] = f.second.first;
@@ -20,6 +24,14 @@
         fed_ = vault_.commit();
         feed_.add({0, kBundle, vault_.commit(), vault_.hash(), vault_.text()});
     }
+    elected();
+}
+
+void KeeperCore::elected() {
+    if (!discovered_ || elected_ || !electorate_.founded()) return;
+    elected_ = true;
+    vault_.electorate(electorate_.held().members);
+    feed_.electors(electorate_.held().members);
 }
 
 void KeeperCore::spread_feed(Acts* a) {
@@ -62,6 +74,14 @@
 
 void KeeperCore::tick(Micros now, Acts* a) {
     knell_.tick(now, &a->out);
+    if (discovered_) {
+        keepers_.clear();
+        for (const auto* m : knell_.live("keeper")) keepers_[m->rec.name] = m->rec.address;
+        vault_.peers(keepers_);
+        electorate_.tick(now, knell_, a);
+        for (const auto& e : electorate_.held().members)
+            if (elected_) vault_.readdress(e.name, knell_.address(e.name));
+    }
     for (auto& k : keepers_) {
         const std::string at = knell_.address(k.first);
         if (k.first == knell_.name() || at.empty() || at == k.second) continue;
@@ -85,6 +105,12 @@
 }
 
 void KeeperCore::wrote(Micros now, std::uint64_t token, bool ok, Acts* a) {
+    if ((token & kElectorateToken) != 0) {
+        electorate_.wrote(token, ok);
+        elected();
+        if (!ok) vault_.wrote(now, 0, false, a);
+        return;
+    }
     vault_.wrote(now, token, ok, a);
     told(a);
 }
@@ -94,14 +120,12 @@
     if (const auto* q = std::get_if<weft::FeedAsk>(&e.msg)) {
         const std::string to = knell_.address(e.from);
         if (!to.empty()) a->out.push_back({to, feed_.answer(*q)});
-        if (q->commit > vault_.commit() && !to.empty())
-            a->out.push_back({to, weft::StateAsk{0, vault_.commit()}});
+        vault_.want(now, q->commit, to, a);
         return;
     }
     if (const auto* h = std::get_if<weft::Heartbeat>(&e.msg)) {
         // Somebody acts on a higher commit than stands here: have it told (docs/design.md 5.2).
-        if (fresh && h->commit > vault_.commit())
-            a->out.push_back({h->me.address, weft::StateAsk{0, vault_.commit()}});
+        if (fresh) vault_.want(now, h->commit, h->me.address, a);
         return;
     }
     if (const auto* l = std::get_if<weft::Listing>(&e.msg)) {
@@ -123,9 +147,16 @@
                 if (c.kind == kServerMark) take_mark(c, a);
         return;
     }
-    if (const auto* r = std::get_if<weft::StateSaid>(&e.msg))
+    if (const auto* r = std::get_if<weft::StateSaid>(&e.msg)) {
         if (keepers_.count(e.from) == 0) vault_.learn(now, r->commit, r->hash, r->text, a);
+    }
+    const auto from = a->out.size();
+    if (discovered_) electorate_.hear(now, e, knell_, a);
     vault_.hear(now, e, a);
+    // What we say of our state tells of the electorate as well (docs/design.md 5.7).
+    if (discovered_)
+        for (auto i = from; i < a->out.size(); ++i)
+            if (auto* r = std::get_if<weft::StateSaid>(&a->out[i].msg)) electorate_.fill(now, knell_, r);
     told(a);
 }
 
