--- a/packages/loom/include/loom/checks.hpp
+++ b/packages/loom/include/loom/checks.hpp
@@ -48,6 +48,9 @@
                const std::string& hash);
     void died(const std::string& node) { acts.erase(node); }
     void acked(Micros t, std::uint64_t number, const std::string& hash);
+    // A keeper's disk holds these as the founded electorate.
+    void elected(Micros t, const std::string& keeper, const std::set<std::string>& members);
+    const std::set<std::string>& electorate() const { return electorate_; }
     void to_leaving(Micros t, Micros known_since);
     void fail(const std::string& rule, const std::string& what);
 
@@ -89,6 +92,7 @@
     void retry_windows();
 
     std::map<std::string, Word> words_;
+    std::set<std::string> electorate_;  // the first that was ever founded
     std::map<std::string, Micros> first_acted_;                    // hash -> when
     std::map<std::uint64_t, Micros> acked_at_;                     // number -> when
     std::map<std::string, std::vector<Micros>> handed_, offered_;  // by customer
--- a/packages/loom/include/loom/world.hpp
+++ b/packages/loom/include/loom/world.hpp
@@ -40,6 +40,9 @@
     Micros link = 2 * pith::kMilli, jitter = 6 * pith::kMilli;
     double small_service = 0;     // traffic of the last service, where it is not an equal part
     std::set<std::string> older;  // nodes of a version whose Counts had neither `silent` nor `well`
+    bool discovered = false;  // no keepers are listed (docs/design.md 5.7); seeds are the first three proxies
+    int spares = 0;           // keepers beyond those, started later, with first_start off
+    bool acknowledge_old = false;
     int deadline_ms = 2500, read_ms = 1000, write_ms = 2000;
 };
 Deployment firm();
@@ -49,7 +52,7 @@
     bool send_writes_twice = false, lying_disk = false, ignore_partners = false, slip_back = false,
          ignore_leaving = false, lie_not_run = false, unlimited_retries = false, stale_policy = false,
          trust_address = false, say_well = false, swap_answers = false, stay_silent = false,
-         deaf_feed = false, hasty_stop = false;
+         deaf_feed = false, hasty_stop = false, forget_founding = false;
 };
 
 // What an operator's bundle changes against the deployment's plan.
@@ -74,6 +77,10 @@
     // Power goes as the keeper's next but `nth` write of a bundle ends: before it is on disk, or just after.
     // `all`: of the whole fleet.
     void power_off_at(const std::string& keeper, int nth, bool after, bool all);
+    // The same at a keeper's next but `nth` write of a proposal or an electorate. `how`: alone, all (the whole
+    // fleet), wipe (its disk is lost), cut (it runs on, cut off until it is isolated no more).
+    void fault_founding_at(const std::string& keeper, int nth, bool after, const std::string& how);
+    void fault_at(const std::string& keeper, int nth, bool after, const std::string& how);
     void freeze(const std::string& node, Micros how_long);
     void cut(const std::string& a, const std::string& b, bool on);  // one way
     void isolate(const std::string& node, bool on);                 // both ways, all
@@ -94,6 +101,10 @@
     // Operators
     void push(const std::string& keeper, std::uint64_t number, const std::string& note, const Edit& e = {});
     const std::map<std::uint64_t, std::string>& acked() const { return acked_; }
+    // What operators were told of their pushes, by the order of pushes: "ok NUMBER", or the kind.
+    const std::map<std::uint64_t, std::string>& answers() const { return answers_; }
+    std::size_t traps() const { return trap_.size(); }  // faults that have not come yet
+    const vault::Held& disk(const std::string& keeper) { return disk_[keeper]; }
 
     std::vector<std::string> names(const std::string& role) const;
     bool up(const std::string& n) const;
@@ -141,7 +152,8 @@
     void farewell(Node& n);
     void ended(std::string name);  // by a planned stop
     void await(const VisitPtr& v, std::uint64_t life);
-    void crash(const std::string& keeper, bool all);
+    void crash(std::string keeper, const std::string& how);
+    bool holds(const std::string& keeper, std::uint64_t number) const;
 
     Deployment d_;
     pith::Rng rng_;
@@ -165,13 +177,16 @@
     std::string list_how_;
     struct Trap {
         int nth = 0;
-        bool after = false, all = false;
+        bool after = false;
+        std::string how = "alone";
+        bool founding = false;
     };
     std::map<std::string, Trap> trap_;
     std::map<std::string, Micros> back_;  // after a planned stop
     std::set<std::string> changed_;       // customers with an edit of their own: not judged as proper
     std::deque<std::pair<Micros, std::vector<weft::ServerRec>>> listings_;
-    std::map<std::uint64_t, std::string> acked_;
+    std::map<std::uint64_t, std::string> acked_, answers_;
+    std::set<std::string> spare_;
     std::uint64_t op_ = 0;
     std::string pk_, sk_;
 };
--- a/packages/loom/src/checks.cpp
+++ b/packages/loom/src/checks.cpp
@@ -106,6 +106,18 @@
     acked_at_.emplace(number, t);
 }
 
+void Checks::elected(Micros t, const std::string& keeper, const std::set<std::string>& members) {
+    auto text = [](const std::set<std::string>& v) {
+        std::string s;
+        for (const auto& n : v) s += (s.empty() ? "" : ",") + n;
+        return s;
+    };
+    if (electorate_.empty()) electorate_ = members;
+    if (electorate_ != members)
+        fail("two_electorates", keeper + " holds " + text(members) + " at " + std::to_string(t / 1000) +
+                                    " ms, " + text(electorate_) + " was founded before");
+}
+
 void Checks::to_leaving(Micros t, Micros known_since) {
     if (t - known_since > 2 * kSecond)
         fail("sent_to_leaving", std::to_string((t - known_since) / 1000) + " ms after it was known to leave");
