--- a/packages/helm/src/helm.cpp
+++ b/packages/helm/src/helm.cpp
@@ -635,7 +635,8 @@
         if (str(o, "disk") == "failed")
             v.emplace_back("its disk failed: make room or replace the disk, then start it again");
         else if (str(o, "spare") == "true")
-            v.emplace_back("keeps a copy and has no vote: it is none of the electorate's; push to one of those");
+            v.emplace_back(
+                "keeps a copy and has no vote: it is none of the electorate's; push to one of those");
         else if (str(o, "voting") == "false")
             v.emplace_back(
                 "has no vote: its disk was emptied; start all other keepers, it hears them and votes");
--- a/packages/loom/include/loom/checks.hpp
+++ b/packages/loom/include/loom/checks.hpp
@@ -92,7 +92,7 @@
     void retry_windows();
 
     std::map<std::string, Word> words_;
-    std::set<std::string> electorate_;  // the first that was ever founded
+    std::set<std::string> electorate_;                             // the first that was ever founded
     std::map<std::string, Micros> first_acted_;                    // hash -> when
     std::map<std::uint64_t, Micros> acked_at_;                     // number -> when
     std::map<std::string, std::vector<Micros>> handed_, offered_;  // by customer
--- a/packages/loom/include/loom/world.hpp
+++ b/packages/loom/include/loom/world.hpp
@@ -77,8 +77,8 @@
     // Power goes as the keeper's next but `nth` write of a bundle ends: before it is on disk, or just after.
     // `all`: of the whole fleet.
     void power_off_at(const std::string& keeper, int nth, bool after, bool all);
-    // The same at a keeper's next but `nth` write of a proposal or an electorate. `how`: alone, all (the whole
-    // fleet), wipe (its disk is lost), cut (it runs on, cut off until it is isolated no more).
+    // The same at a keeper's next but `nth` write of a proposal or an electorate. `how`: alone, all (the
+    // whole fleet), wipe (its disk is lost), cut (it runs on, cut off until it is isolated no more).
     void fault_founding_at(const std::string& keeper, int nth, bool after, const std::string& how);
     void fault_at(const std::string& keeper, int nth, bool after, const std::string& how);
     void freeze(const std::string& node, Micros how_long);
--- a/packages/loom/test/founding.cpp
+++ b/packages/loom/test/founding.cpp
@@ -128,7 +128,8 @@
                         if (((side >> i) & 1) == 0 || ((side >> j) & 1) != 0) continue;
                         for (const char* a : {"k", "p"})
                             for (const char* b : {"k", "p"}) {
-                                const std::string x = a + std::to_string(i + 1), y = b + std::to_string(j + 1);
+                                const std::string x = a + std::to_string(i + 1),
+                                                  y = b + std::to_string(j + 1);
                                 r.w.cut(x, y, on);
                                 r.w.cut(y, x, on);
                             }
@@ -194,7 +195,8 @@
     BOOST_TEST(r.end() == "");
 }
 
-// Two contents of one number, and numbers overtaken while under way: all end acknowledged, one content stands.
+// Two contents of one number, and numbers overtaken while under way: all end acknowledged, one content
+// stands.
 BOOST_AUTO_TEST_CASE(races_of_numbers_end_acknowledged) {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
         Run r(seed);
@@ -207,7 +209,8 @@
         BOOST_TEST(r.end() == "");
         BOOST_TEST(r.w.answers().size() == 5u);
         for (const auto& a : r.w.answers())
-            BOOST_TEST(a.second.substr(0, 2) == "ok", "seed " << seed << " push " << a.first << " " << a.second);
+            BOOST_TEST(a.second.substr(0, 2) == "ok",
+                       "seed " << seed << " push " << a.first << " " << a.second);
     }
 }
 
--- a/packages/pith/include/pith/settings.hpp
+++ b/packages/pith/include/pith/settings.hpp
@@ -14,17 +14,17 @@
 };
 
 // name, is a list
-#define PITH_SETTINGS(X)                                                         \
-    X(fleet, "name of the fleet; strangers' frames are dropped")                 \
-    X(name, "this process's name, unique in the fleet")                          \
-    X(locality, "the zone that this machine is in")                              \
-    X(weft, "IP:PORT for frames between processes")                              \
-    X(visits, "IP:PORT for callers (proxy)")                                     \
-    X(operator_address, "IP:PORT for operators: /ready /live /metrics and helm") \
-    X(platform, "IP:PORT of the platform's listing of servers")                  \
-    X(data, "folder for what must last (keeper)")                                \
-    X(secret_file, "file with the fleet's shared secret, 32 bytes as hex")       \
-    X(log_level, "debug, info, warn or error")                                   \
+#define PITH_SETTINGS(X)                                                              \
+    X(fleet, "name of the fleet; strangers' frames are dropped")                      \
+    X(name, "this process's name, unique in the fleet")                               \
+    X(locality, "the zone that this machine is in")                                   \
+    X(weft, "IP:PORT for frames between processes")                                   \
+    X(visits, "IP:PORT for callers (proxy)")                                          \
+    X(operator_address, "IP:PORT for operators: /ready /live /metrics and helm")      \
+    X(platform, "IP:PORT of the platform's listing of servers")                       \
+    X(data, "folder for what must last (keeper)")                                     \
+    X(secret_file, "file with the fleet's shared secret, 32 bytes as hex")            \
+    X(log_level, "debug, info, warn or error")                                        \
     X(operator_token, "word that helm must bring for commands that change a process") \
     X(old_numbers, "refuse or acknowledge: pushes at or below the number that stands (keeper)")
 
--- a/packages/pith/src/settings.cpp
+++ b/packages/pith/src/settings.cpp
@@ -90,7 +90,8 @@
         if (!address_ok(a)) return wrong("settings: seed \"" + a + "\" is not IP:PORT: correct it");
     if (s.keepers.size() > 7)
         return wrong(
-            "settings: \"keepers\" must list at most seven {name, address}, usually three, or none where they "
+            "settings: \"keepers\" must list at most seven {name, address}, usually three, or none where "
+            "they "
             "are discovered: correct it");
     std::set<std::string> seen;
     bool me = false;
--- a/packages/span/src/keeperd.cpp
+++ b/packages/span/src/keeperd.cpp
@@ -193,11 +193,10 @@
             asked_.erase(i);
             if (x.result) {
                 log_event(Level::info, "acknowledged", {{"number", *x.result}});
-                r(weft::json_answer(200,
-                                    json::serialize(json::object{{"acknowledged", *x.result},
-                                                                 {"standing", core_->vault().commit()},
-                                                                 {"hash", x.hash}}) +
-                                        "\n"));
+                r(weft::json_answer(200, json::serialize(json::object{{"acknowledged", *x.result},
+                                                                      {"standing", core_->vault().commit()},
+                                                                      {"hash", x.hash}}) +
+                                             "\n"));
             } else {
                 log_event(
                     Level::warn, "push_refused",
--- a/packages/vault/include/vault/electorate.hpp
+++ b/packages/vault/include/vault/electorate.hpp
@@ -63,7 +63,8 @@
     Job job_{};  // under way; token 0: none
     std::map<std::string, Word> said_;
     std::set<std::string> reckoned_;  // the table of keepers as it was last
-    pith::Micros changed_ = pith::kNever, started_ = pith::kNever, next_ask_ = 0, next_far_ = 0, next_propose_ = 0;
+    pith::Micros changed_ = pith::kNever, started_ = pith::kNever, next_ask_ = 0, next_far_ = 0,
+                 next_propose_ = 0;
 };
 
 }  // namespace vault
--- a/packages/vault/include/vault/vault.hpp
+++ b/packages/vault/include/vault/vault.hpp
@@ -38,8 +38,8 @@
 
 // Asked of the disk; each must be synced before it is reported well.
 struct Job {
-    // floor: hash is the duty, text its holder. propose, elect, withdraw, drop: number is the proposal's, hash
-    // its founder, text not empty where it was adopted.
+    // floor: hash is the duty, text its holder. propose, elect, withdraw, drop: number is the proposal's,
+    // hash its founder, text not empty where it was adopted.
     enum What { promise, commit, found, floor, propose, elect, withdraw, drop } what;
     std::uint64_t token;  // 0: nobody waits for it
     std::uint64_t number = 0;
@@ -66,7 +66,8 @@
 
 struct VaultConfig {
     std::string name;
-    std::vector<std::pair<std::string, std::string>> keepers;  // name, address; with ourselves; none: discovered
+    std::vector<std::pair<std::string, std::string>>
+        keepers;  // name, address; with ourselves; none: discovered
     std::vector<std::string> signers;
     pith::Micros patience = 3 * pith::kSecond;
     pith::Micros again = 400 * pith::kMilli;
@@ -145,7 +146,7 @@
     std::map<std::uint64_t, std::string> writing_;   // asked of the disk
     std::uint64_t commit_ = 0;                       // on disk
     std::string hash_, text_;
-    std::uint64_t below_ = 0;  // none is promised below it
+    std::uint64_t below_ = 0;                                              // none is promised below it
     std::map<std::uint64_t, std::pair<std::string, std::string>> staged_;  // hash and text, the newest few
     std::map<std::string, std::string> peers_;                             // discovered, by name
     pith::Micros next_want_ = 0;
--- a/packages/vault/src/disk.cpp
+++ b/packages/vault/src/disk.cpp
@@ -199,8 +199,9 @@
         if (!whole) {
             // The last one was torn as the power went: nobody was told of it. Any other is damage.
             if (end == std::string::npos || end + 1 == s->size()) return true;
-            return bad("a line of " + path + " does not check",
-                       "promises may be lost; move the folder away, so that this keeper begins as an emptied one");
+            return bad(
+                "a line of " + path + " does not check",
+                "promises may be lost; move the folder away, so that this keeper begins as an emptied one");
         }
         if (what == 'p')
             h->promises[n] = hash;
--- a/packages/vault/src/electorate.cpp
+++ b/packages/vault/src/electorate.cpp
@@ -36,7 +36,8 @@
 
 // One disk job at a time: what is held changes only as it is on disk.
 void Electorate::write(Job::What what, const Proposal& p, Acts* a) {
-    job_ = Job{what, kElectorateToken | ++serial_, p.id, p.founder, p.adopted ? "adopted" : "", {}, p.members};
+    job_ =
+        Job{what, kElectorateToken | ++serial_, p.id, p.founder, p.adopted ? "adopted" : "", {}, p.members};
     a->jobs.push_back(job_);
 }
 
@@ -73,8 +74,8 @@
     return i == said_.end() || now - i->second.at > kLately ? nullptr : &i->second;
 }
 
-// Each seed answered us lately, having us in its table, and knows of no keeper that we do not: of two founders
-// the seed that both asked named the one to the other (docs/design.md 5.7).
+// Each seed answered us lately, having us in its table, and knows of no keeper that we do not: of two
+// founders the seed that both asked named the one to the other (docs/design.md 5.7).
 bool Electorate::seeds_agree(Micros now, const knell::Knell& k,
                              const std::map<std::string, std::string>& known) const {
     for (const auto& at : c_.seeds) {
@@ -131,8 +132,8 @@
     std::vector<ElectorRec> members;
     for (const auto& p : there)
         if (members.size() < kMaxElectors) members.push_back({p.first, p.second});
-    const bool settled = heard && now - started_ >= c_.least && now - changed_ >= c_.settle &&
-                         seeds_agree(now, k, known);
+    const bool settled =
+        heard && now - started_ >= c_.least && now - changed_ >= c_.settle && seeds_agree(now, k, known);
     if (mine())
         carry_on(now, members, settled, k, a);
     else if (held_.id == 0 && settled && !others && !members.empty() && members[0].name == c_.name &&
--- a/packages/vault/src/vault.cpp
+++ b/packages/vault/src/vault.cpp
@@ -483,11 +483,13 @@
         if (ops_[id].waiting)
             finish(id, fail(Kind::bundle_taken, ops_[id].why), a);
         else
-            finish(id,
-               fail(Kind::outcome_unknown,
+            finish(
+                id,
+                fail(
+                    Kind::outcome_unknown,
                     "no majority of keepers answered in time; the bundle may stand later: push the same file "
                     "again, or a higher number"),
-               a);
+                a);
 }
 
 }  // namespace vault
--- a/packages/vault/test/vault.cpp
+++ b/packages/vault/test/vault.cpp
@@ -87,7 +87,8 @@
         for (auto& s : a.out) {
             if (away.count(s.address) || away.count(n)) continue;
             if (std::holds_alternative<weft::StageSaid>(s.msg) && lost_said.count(n)) continue;
-            if (const auto* c = std::get_if<weft::CommitAsk>(&s.msg)) texts[s.address] += c->text.empty() ? 0 : 1;
+            if (const auto* c = std::get_if<weft::CommitAsk>(&s.msg))
+                texts[s.address] += c->text.empty() ? 0 : 1;
             if (const auto* c = std::get_if<weft::StateSaid>(&s.msg)) state_texts += c->text.empty() ? 0 : 1;
             Acts b;
             v[s.address]->hear(now, weft::Envelope{n, 1, 0, s.msg}, &b);
@@ -203,7 +204,8 @@
         BOOST_REQUIRE(d.carry_out(Job{Job::commit, 3, 1, h1, one, {}}).has_value());
         BOOST_REQUIRE(d.carry_out(Job{Job::commit, 4, 2, h2, two, {}}).has_value());
         // Another content was promised to an odd keeper's union; an electorate, learnt, and its vote.
-        BOOST_REQUIRE(d.carry_out(Job{Job::propose, 5, 77, "k1", "adopted", {}, {{"k1", "a:1"}}}).has_value());
+        BOOST_REQUIRE(
+            d.carry_out(Job{Job::propose, 5, 77, "k1", "adopted", {}, {{"k1", "a:1"}}}).has_value());
         BOOST_REQUIRE(d.carry_out(Job{Job::withdraw, 6, 77, "k1", {}, {}, {}}).has_value());
         BOOST_REQUIRE(
             d.carry_out(Job{Job::elect, 7, 78, "k2", {}, {}, {{"k2", "a:2"}, {"k3", "a:3"}}}).has_value());
@@ -311,7 +313,11 @@
     h.below = 24;
     Vault v(t.config("k1"), h, 9);
     Acts a;
-    v.hear(0, weft::Envelope{"k2", 1, 0, weft::StageAsk{1, 23, creed::read_signed(bundle(23, "b"), {pk})->bundle.hash, bundle(23, "b")}}, &a);
+    v.hear(0,
+           weft::Envelope{"k2", 1, 0,
+                          weft::StageAsk{1, 23, creed::read_signed(bundle(23, "b"), {pk})->bundle.hash,
+                                         bundle(23, "b")}},
+           &a);
     BOOST_TEST(a.jobs.empty());
     BOOST_REQUIRE(a.out.size() == 1u);
     BOOST_TEST(std::get<weft::StageSaid>(a.out[0].msg).ok == 0);
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -51,16 +51,17 @@
 WEFT_STRUCT(PromiseRec, PROMISE_REC)
 #define STATE_ASK(F) F(U64, nonce) F(U64, commit)
 WEFT_STRUCT(StateAsk, STATE_ASK)
-// From `founder` on (docs/design.md 5.7): the electorate, or the proposal of one, that the sender's disk holds;
-// whether it may take part in a first founding; proposals of its own that it withdrew; keepers it knows of.
+// From `founder` on (docs/design.md 5.7): the electorate, or the proposal of one, that the sender's disk
+// holds; whether it may take part in a first founding; proposals of its own that it withdrew; keepers it
+// knows of.
 #define ELECTOR_REC(F) F(Str, name) F(Str, address)
 WEFT_STRUCT(ElectorRec, ELECTOR_REC)
-#define STATE_SAID(F)                                                                            \
-    F(U64, nonce)                                                                                \
-    F(U8, voting) F(U8, empty) F(U64, commit) F(Str, hash) F(Str, text)                          \
-        F(std::vector<PromiseRec>, promises) F(Str, founder) F(U64, proposal)                    \
-            F(std::vector<ElectorRec>, electors) F(U8, founded) F(U8, first)                     \
-                F(std::vector<U64>, withdrawn) F(std::vector<Str>, keepers)
+#define STATE_SAID(F)                                                                                     \
+    F(U64, nonce)                                                                                         \
+    F(U8, voting)                                                                                         \
+    F(U8, empty) F(U64, commit) F(Str, hash) F(Str, text) F(std::vector<PromiseRec>, promises)            \
+        F(Str, founder) F(U64, proposal) F(std::vector<ElectorRec>, electors) F(U8, founded) F(U8, first) \
+            F(std::vector<U64>, withdrawn) F(std::vector<Str>, keepers)
 WEFT_STRUCT(StateSaid, STATE_SAID)
 #define PROPOSE(F) F(U64, id) F(std::vector<ElectorRec>, electors)
 WEFT_STRUCT(Propose, PROPOSE)
@@ -72,8 +73,8 @@
 WEFT_STRUCT(FeedAsk, FEED_ASK)
 #define FEED_SAID(F) \
     F(U64, feed)     \
-    F(U64, place) F(U8, digest) F(U64, commit) F(std::vector<ChangeRec>, changes) \
-        F(std::vector<ElectorRec>, electors)
+    F(U64, place)    \
+    F(U8, digest) F(U64, commit) F(std::vector<ChangeRec>, changes) F(std::vector<ElectorRec>, electors)
 WEFT_STRUCT(FeedSaid, FEED_SAID)
 
 // -- servers (docs/design.md 7)
@@ -93,8 +94,9 @@
     X(2, News)                                                                                      \
     X(3, Counts)                                                                                    \
     X(5, StageAsk)                                                                                  \
-    X(6, StageSaid) X(7, CommitAsk) X(8, CommitSaid) X(9, StateAsk) X(10, StateSaid) X(11, FeedAsk) \
-        X(12, FeedSaid) X(13, Listing) X(14, ListingAsk) X(15, Probes) X(16, Propose)
+    X(6, StageSaid)                                                                                 \
+    X(7, CommitAsk) X(8, CommitSaid) X(9, StateAsk) X(10, StateSaid) X(11, FeedAsk) X(12, FeedSaid) \
+        X(13, Listing) X(14, ListingAsk) X(15, Probes) X(16, Propose)
 
 #define X(t, n) , n
 using Msg = std::variant<std::monostate WEFT_MESSAGES(X)>;
