vault: two rules of founding get tests that fail without them

Cause: with the seeds' witness left out, or a second proposal accepted, all tests of vault and loom.founding still passed (scratch programs with either rule taken out). Both now have a case that fails then: tried the same way. loom.founding by itself still passes with either rule taken out, and with the seeds left out altogether: its splits do not bring two founders without a common member about.

--- a/packages/vault/test/vault.cpp
+++ b/packages/vault/test/vault.cpp
@@ -565,3 +565,53 @@
     BOOST_REQUIRE(o.size() == 1u);
     BOOST_TEST(o[0].address == "elsewhere");
 }
+
+// Holding one proposal, a keeper writes no other, and none that does not name it, or at no first start.
+BOOST_AUTO_TEST_CASE(a_second_proposal_is_not_accepted) {
+    knell::Knell k(knell::Config{});
+    const std::vector<weft::ElectorRec> both{{"k1", "k1"}, {"k2", "k2"}};
+    auto accepts = [&](const Held& h, bool first, const std::string& from, const std::string& me) {
+        Electorate e(Electorate::Config{me, me, {"p1"}, first}, h, 1);
+        Acts a;
+        e.hear(0, weft::Envelope{from, 1, 0, weft::Propose{9, both}}, k, &a);
+        return !a.jobs.empty();
+    };
+    Held other;
+    other.proposal = Proposal{"k3", 5, {{"k2", "k2"}, {"k3", "k3"}}, false};
+    Held founded = other;
+    founded.elected = true;
+    BOOST_TEST(accepts({}, true, "k1", "k2"));
+    BOOST_TEST(!accepts(other, true, "k1", "k2"));
+    BOOST_TEST(!accepts(founded, true, "k1", "k2"));
+    BOOST_TEST(!accepts({}, false, "k1", "k2"));
+    BOOST_TEST(!accepts({}, true, "k1", "k4"));
+    BOOST_TEST(!accepts({}, true, "k4", "k2"));
+}
+
+// A seed is a witness: it must have us in its table, and name no keeper that we do not know.
+BOOST_AUTO_TEST_CASE(a_founder_asks_its_seeds_who_else_is_there) {
+    auto proposes = [](const std::vector<std::string>& named) {
+        knell::Config c;
+        c.name = c.address = "k1";
+        c.role = "keeper";
+        knell::Knell k(c);
+        weft::Out o;
+        weft::News n;
+        n.members.push_back({"p1", "p1", "a", "proxy", 1, 0, 1, ""});
+        k.hear(0, weft::Envelope{"p1", 1, 0, n}, &o);
+        Electorate e(Electorate::Config{"k1", "k1", {"p1"}, true}, Held{}, 1);
+        for (pith::Micros now = 0; now < 5 * kSecond; now += 100 * kMilli) {
+            Acts a;
+            weft::StateSaid r;
+            r.nonce = 1;
+            r.keepers = named;
+            e.hear(now, weft::Envelope{"p1", 1, 0, r}, k, &a);
+            e.tick(now, k, &a);
+            if (!a.jobs.empty()) return true;
+        }
+        return false;
+    };
+    BOOST_TEST(proposes({"k1"}));
+    BOOST_TEST(!proposes({"k1", "k2"}));
+    BOOST_TEST(!proposes({}));
+}
