vault, knell, span: a node behind a cut asks electors called down, and peers that act on more

Cause: a node cut off from the keepers called them down and asked only keepers that live; they called it down and spoke to it no more; seeds were told each 5 s. Ruled out: lost frames (its log shows no frame dropped). Now electors are asked each second whatever their state, one member called down is told a heartbeat in each beat, and a higher number in a peer's heartbeat is asked of that peer. Tests: span.core, knell.members, vault.vault.

--- a/packages/knell/include/knell/knell.hpp
+++ b/packages/knell/include/knell/knell.hpp
@@ -78,6 +78,7 @@
     Freight freight_;
     pith::Micros next_ = 0, joined_ = -pith::kNever, asked_ = -pith::kNever;
     pith::Micros last_ = -pith::kNever;
+    std::string asked_last_;  // of those called down
 };
 
 }  // namespace knell
--- a/packages/knell/src/knell.cpp
+++ b/packages/knell/src/knell.cpp
@@ -233,6 +233,12 @@
     h.list_version = freight_.list_version;
     for (const auto& p : epochs_) h.epochs.push_back(p.second);
     for (const auto* m : watchers()) out->push_back({m->rec.address, h});
+    // One of those called down, in turn: where a cut was mended both sides know within a few beats (4.2).
+    const Member* lost = nullptr;
+    for (const auto& p : m_)
+        if (p.second.rec.state == kDown && p.first > asked_last_ && lost == nullptr) lost = &p.second;
+    asked_last_ = lost == nullptr ? std::string() : lost->rec.name;
+    if (lost != nullptr) out->push_back({lost->rec.address, h});
     // Seeds are told until somebody is known, and now and then after, so that splits heal.
     if (live().empty() || now - joined_ > 5 * pith::kSecond) {
         joined_ = now;
--- a/packages/knell/test/members.cpp
+++ b/packages/knell/test/members.cpp
@@ -183,3 +183,20 @@
     f.n["n0"]->hear(f.now + 2 * kSecond, weft::Envelope{"n2", 1, 0, v}, &out);
     BOOST_TEST(!f.n["n0"]->is_live("n1"));
 }
+
+// Two sides call each other down; none of the seeds is on one of them. Once the cut is mended both know within a second.
+BOOST_AUTO_TEST_CASE(sides_that_called_each_other_down_meet_soon_after_a_cut) {
+    Field f;
+    for (int i = 0; i < 9; ++i) f.add("n" + std::to_string(i));
+    f.run(2 * kSecond);
+    f.cut.insert("n7");  // stands still meanwhile, as seen from here: it is called down
+    f.run(20 * kSecond);
+    for (auto& p : f.n)
+        if (p.first != "n7") BOOST_TEST(!p.second->is_live("n7"));
+    f.cut.clear();
+    f.run(kSecond);
+    for (auto& p : f.n)
+        if (p.first != "n7") BOOST_TEST(p.second->is_live("n7"));
+    for (auto& p : f.n)
+        if (p.first != "n7") BOOST_TEST(f.n["n7"]->is_live(p.first));
+}
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -24,6 +24,7 @@
     double much = 0.02;                              // of a second's allowance
     pith::Micros nap = 100 * pith::kMilli;           // between ticks where nobody waits and all is told
     pith::Micros counts_slow = 400 * pith::kMilli;   // where nothing did
+    pith::Micros pull_every = 300 * pith::kMilli;    // a bundle asked of one that acts on it
     pith::Micros feed_every = pith::kSecond;
     pith::Micros in_sight = 1000 * pith::kMilli;  // a proxy is, if it told counts so lately
     pith::Micros keeper_in_sight = 2500 * pith::kMilli;
@@ -111,7 +112,7 @@
     bool all_next_ = true;                  // partners that are new need a baseline of every customer
     std::map<std::string, tide::Worst> worst_;
     pith::Micros next_worst_ = 0;
-    pith::Micros next_soon_ = 0;
+    pith::Micros next_soon_ = 0, next_pull_ = 0;
     std::uint64_t counts_seq_ = 0, refused_ = 0;
     tide::Standing standing_ = tide::Standing::floor;
     bool lonely_ = false, quiet_ = false;
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -264,7 +264,13 @@
         return;
     }
     if (const auto* h = std::get_if<weft::Heartbeat>(&e.msg)) {
-        if (fresh && h->commit > (policy_ == nullptr ? 0 : policy_->number())) follower_.hurry(now);
+        if (!fresh || h->commit <= (policy_ == nullptr ? 0 : policy_->number())) return;
+        follower_.hurry(now);
+        // Where keepers are out of reach, or far, whoever acts on it has it (docs/design.md 5.4).
+        if (now >= next_pull_ && started()) {
+            next_pull_ = now + t_.pull_every;
+            d->out.push_back({h->me.address, weft::StateAsk{0, policy_ == nullptr ? 0 : policy_->number()}});
+        }
         return;
     }
     if (std::holds_alternative<weft::FeedSaid>(e.msg)) {
@@ -275,8 +281,8 @@
         return;
     }
     if (std::holds_alternative<weft::StateAsk>(e.msg)) {
-        const auto k = keepers_.find(e.from);
-        if (k == keepers_.end() || (policy_ == nullptr && !discovered_)) return;
+        const std::string to = knell_.address(e.from);
+        if (to.empty() || (policy_ == nullptr && !discovered_)) return;
         const auto& q = std::get<weft::StateAsk>(e.msg);
         weft::StateSaid r;
         if (policy_ != nullptr) {
@@ -291,7 +297,11 @@
             for (const auto& p : vault::keepers_known(knell_, now, vault::Electorate::Config{}.hold))
                 r.keepers.push_back(p.first);
         }
-        d->out.push_back({k->second, r});
+        d->out.push_back({to, r});
+        return;
+    }
+    if (const auto* r = std::get_if<weft::StateSaid>(&e.msg)) {
+        if (!r->text.empty()) take_bundle(now, r->commit, r->hash, r->text, d);
         return;
     }
     if (const auto* l = std::get_if<weft::Listing>(&e.msg)) {
--- a/packages/vault/include/vault/feed.hpp
+++ b/packages/vault/include/vault/feed.hpp
@@ -50,6 +50,7 @@
     std::size_t digested() const;
     // Digests from a majority of the keepers that are listed, or of the electorate.
     bool ready() const;
+    bool is_elector(const std::string& name) const;
 
   private:
     bool discovered_ = false;
--- a/packages/vault/src/feed.cpp
+++ b/packages/vault/src/feed.cpp
@@ -47,7 +47,8 @@
     commit_ = commit;
     for (auto& p : tracks_) {
         Track& t = p.second;
-        if (now < t.next || !t.live) continue;
+        // Electors are asked also where they are called down: after a cut that word may be ours alone.
+        if (now < t.next || !(t.live || is_elector(p.first))) continue;
         t.next = now + (t.digested ? period_ : period_ / 4);
         out->push_back({t.address, weft::FeedAsk{t.feed, t.place, commit}});
     }
@@ -62,12 +63,14 @@
     for (auto i = tracks_.begin(); i != tracks_.end();) {
         if (live.count(i->first) == 0) i->second.live = false;
         // What an elector told before it went still counts; of others nothing is kept.
-        const bool elector = std::any_of(electors_.begin(), electors_.end(),
-                                         [&i](const auto& e) { return e.name == i->first; });
-        i = i->second.live || elector || electors_.empty() ? std::next(i) : tracks_.erase(i);
+        i = i->second.live || is_elector(i->first) || electors_.empty() ? std::next(i) : tracks_.erase(i);
     }
 }
 
+bool Follower::is_elector(const std::string& name) const {
+    return std::any_of(electors_.begin(), electors_.end(), [&name](const auto& e) { return e.name == name; });
+}
+
 bool Follower::ready() const {
     if (!discovered_) return digested() >= tracks_.size() / 2 + 1;
     if (electors_.empty()) return false;
