creed: builds again after the bundle's new fields

Cause: Service got fields, and its list was still filled from a name alone, which -Werror=missing-field-initializers refuses. Before: ms_creed does not compile; after: it does. No other change.

--- a/packages/creed/src/bundle.cpp
+++ b/packages/creed/src/bundle.cpp
@@ -291,7 +291,8 @@
             const std::string n = c.name(*r, "name", at);
             for (const auto& e : b.services)
                 if (e.name == n) c.fault(at + "/name", "\"" + n + "\" is used twice: rename one");
-            b.services.push_back({n});
+            b.services.emplace_back();
+            b.services.back().name = n;
         }
         if (c.ok()) read_routes(*o, &b, &c);
         if (c.ok()) read_customers(*o, &b, &c);
