span: servers by estimated time, peers' load in counts, a bucket budget

Cause: two at a time and the least in flight of four preferred knows neither servers' speeds nor what peers send there, a 503 that ran nothing was a failure, and each node's budget was its own, not the fleet's.

Errand: shed and 421 are not run and go elsewhere, writes too; a read's 5xx goes elsewhere if a server is free, else is passed on; offer_by ends waiting.

Ruled out, by figures (docs/design.md 7.3): local knowledge only, slower decay, best of a few at random. Crediting the first sends of the last 10 s: breaks the bound where they end.

Open: with more nodes than the slack the buckets' sum is n; pages of a listing are read but not followed (a listing of several is refused whole).

--- a/packages/loom/src/main.cpp
+++ b/packages/loom/src/main.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <thread>
 
+#include "loom/figures.hpp"
 #include "loom/scenario.hpp"
 #include "pith/flags.hpp"
 
@@ -21,12 +22,16 @@
 DEFINE_int32(counts_ms, 100, "how often partners tell their counts");
 DEFINE_double(much, span::CoreTuning{}.much,
               "untold releases that are told at once, of a second's allowance");
+DEFINE_string(
+    figures, "",
+    "only requests at the servers of one service: name=value,… of nodes servers load cadence_ms even slow "
+    "grey cold run_s, and of the pool: peer_weight peer_ms zone sticky subset jitter extra slack");
 DEFINE_int32(threads, 8, "runs at a time");
 
 namespace {
 
-const std::vector<std::string> kFlags = {"scenario", "deployment", "seeds", "quiet",  "break_rule",
-                                         "tune",     "counts_ms",  "much",  "threads"};
+const std::vector<std::string> kFlags = {"scenario", "deployment", "seeds", "quiet",   "break_rule",
+                                         "tune",     "counts_ms",  "much",  "figures", "threads"};
 
 std::vector<std::string> split(const std::string& s) {
     std::vector<std::string> v;
@@ -72,6 +77,43 @@
     return true;
 }
 
+bool yard(const std::string& s, loom::Yard* y, span::PoolTuning* t) {
+    for (const auto& e : split(s)) {
+        const auto i = e.find('=');
+        if (i == std::string::npos) return false;
+        const std::string k = e.substr(0, i);
+        const double v = std::atof(e.substr(i + 1).c_str());
+        const std::pair<const char*, double*> real[] = {
+            {"load", &y->load},        {"even", &y->even},     {"peer_weight", &t->peer_weight},
+            {"zone", &t->zone},        {"sticky", &t->sticky}, {"jitter", &t->jitter},
+            {"slack", &t->fleet_slack}};
+        const std::pair<const char*, int*> whole[] = {{"nodes", &y->nodes},
+                                                      {"servers", &y->servers},
+                                                      {"slow", &y->slow},
+                                                      {"grey", &y->grey},
+                                                      {"cold", &y->cold}};
+        bool known = true;
+        if (k == "cadence_ms")
+            y->cadence = static_cast<pith::Micros>(v) * pith::kMilli;
+        else if (k == "run_s")
+            y->run = static_cast<pith::Micros>(v) * pith::kSecond;
+        else if (k == "peer_ms")
+            t->peer_keep = static_cast<pith::Micros>(v) * pith::kMilli;
+        else if (k == "subset")
+            t->subset = static_cast<std::size_t>(v);
+        else if (k == "extra")
+            t->extra = static_cast<std::size_t>(v);
+        else
+            known = false;
+        for (const auto& r : real)
+            if (k == r.first) *r.second = v, known = true;
+        for (const auto& w : whole)
+            if (k == w.first) *w.second = static_cast<int>(v), known = true;
+        if (!known) return false;
+    }
+    return true;
+}
+
 struct Sum {
     double worst = 0, retry = 0, worst_ref = 0, worst_cut = 0;  // of one run
     std::uint64_t worst_seed = 0, frames = 0, sessions = 0, probes = 0, offered = 0, refused = 0, cut = 0,
@@ -162,6 +204,17 @@
     const auto from = std::strtoull(FLAGS_seeds.c_str(), nullptr, 10);
     const auto to =
         dash == std::string::npos ? from : std::strtoull(FLAGS_seeds.c_str() + dash + 1, nullptr, 10);
+    if (!FLAGS_figures.empty()) {
+        loom::Yard y;
+        span::PoolTuning pt;
+        if (!yard(FLAGS_figures, &y, &pt)) {
+            std::cerr << "loom: --figures takes name=value,…: see --help\n";
+            return 2;
+        }
+        for (auto i = from; i <= to; ++i)
+            std::cout << "seed=" << i << " " << loom::figures(y, pt, i).line() << "\n";
+        return 0;
+    }
     struct Job {
         std::string s, d;
         std::uint64_t seed;
--- a/packages/loom/src/world.cpp
+++ b/packages/loom/src/world.cpp
@@ -12,6 +12,8 @@
 namespace {
 constexpr Micros kKeeperTick = 50 * kMilli, kPulse = 3 * kMilli;
 constexpr Micros kIdle = 20 * kSecond;
+constexpr int kServerSlots = 2;
+constexpr std::size_t kServerQueue = 8;
 
 Micros gap(pith::Rng& r, double rate) {
     return std::max<Micros>(1, static_cast<Micros>(-std::log(1 - r.unit()) / rate * 1e6));
@@ -164,7 +166,7 @@
         c.inc = static_cast<std::uint64_t>(std::max<Micros>(1, 1000 * kSecond + now_ + wall_off_[name]));
         n->basin = std::make_unique<tide::Basin>(tune_);
         span::PoolTuning pt;
-        if (breaks_.unlimited_retries) pt.budget = pt.slack = 1e9;
+        if (breaks_.unlimited_retries) pt.budget = pt.fleet_slack = 1e9;
         n->pool = std::make_unique<span::Pool>(name, c.locality, pt);
         n->tries = std::make_unique<span::Tries>();
         n->core = std::make_unique<span::ProxyCore>(c, keepers, core_tune_, n->basin.get(), n->pool.get());
@@ -319,6 +321,7 @@
             if (auto* c = std::get_if<weft::Counts>(&e.msg)) {
                 c->silent.clear();
                 c->well.clear();
+                c->load.clear();
             }
         if (breaks_.ignore_partners)
             if (auto* c = std::get_if<weft::Counts>(&e.msg)) c->counts.clear();
@@ -716,7 +719,7 @@
         q.push_back(v);
         const std::string name = n.name;
         const auto life = n.life;
-        later(250 * kMilli, [this, name, life, v] {
+        at(v->errand->wait_until(now_), [this, name, life, v] {
             on_node(name, life, [this, v](Node& m) {
                 auto& l = m.line[v->service];
                 auto i = std::find(l.begin(), l.end(), v);
@@ -808,7 +811,7 @@
                 if (s_[at]->known_at == 0) s_[at]->known_at = now_;
             }
             ++v->exchange;
-            v->status = st == span::Step::answered ? status : 0;
+            if (st == span::Step::answered) v->status = status;  // an earlier 5xx may be passed on
             if (st == span::Step::answered) v->of = v->try_id;
             if (breaks_.swap_answers && !v->of.empty() && v->id % 100 == 0) v->of = "t0";
             if (st == span::Step::answered && s_[at]->up && s_[at]->life == slife)
@@ -825,7 +828,11 @@
     later(trip(), [this, at, slife, v, back] {
         server_take(at, slife, v, [this, back, slife](int code) {
             later(trip(), [back, code, slife] {
-                if (code == 200 || code == 500)
+                if (code == 503)
+                    back(span::Step::shed, 0, slife);
+                else if (code == 421)
+                    back(span::Step::misdirected, 0, slife);
+                else if (code == 200 || code == 500)
                     back(span::Step::answered, code, slife);
                 else
                     back(code == 1 ? span::Step::garbled : span::Step::lost, 0, slife);
@@ -889,13 +896,22 @@
     }
     if (s.service != v->service)
         checks.fail("unallowed", "a visit for " + v->service + " reached " + s.service);
+    if (s.instance != v->errand->slot().instance && !breaks_.trust_address) {
+        answer(421);
+        return;
+    }
+    // It works on two, queues eight more, and turns away the rest without running them.
+    if (s.busy >= kServerSlots && s.line.size() >= kServerQueue) {
+        answer(503);
+        return;
+    }
     s.line.emplace_back(v, std::move(answer));
     server_next(i);
 }
 
 void World::server_next(std::size_t i) {
     Server& s = *s_[i];
-    while (s.busy < 2 && !s.line.empty()) {
+    while (s.busy < kServerSlots && !s.line.empty()) {
         auto job = s.line.front();
         s.line.pop_front();
         ++s.busy;
--- a/packages/span/include/span/errand.hpp
+++ b/packages/span/include/span/errand.hpp
@@ -1,9 +1,10 @@
 #pragma once
 // The decisions about a visit, apart from all sockets: letting it in, and carrying its plan out at servers
 // (docs/design.md 7.1, 7.4). Worker and Relay drive them for real, loom in virtual time.
+#include <algorithm>
 #include <functional>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "span/plan.hpp"
 #include "span/pool.hpp"
@@ -46,7 +47,9 @@
 // Of a visit's time, kept for the server.
 constexpr pith::Micros kForServer = 300 * pith::kMilli;
 
-enum class Step { answered, unsent, lost, late, garbled };  // what came of an exchange
+// What came of an exchange. shed: the server was full; misdirected: another instance is there (421); both say
+// that nothing was run.
+enum class Step { answered, unsent, lost, late, garbled, shed, misdirected };
 // open: a session, then the exchange; wait: for a slot; pass: for a new pass, then passed() or no_pass().
 enum class Do { wait, open, pass, answer, refuse };
 
@@ -74,24 +77,33 @@
     pith::Micros until() const { return until_; }
     pith::Micros open_until() const { return std::min(p_.deadline, t0_ + p_.timeout); }
     const Refusal& refusal() const { return refusal_; }
-    bool sent() const { return sent_; }
+    // Until when to wait for a slot at most; then again().
+    pith::Micros wait_until(pith::Micros now) const;
+    bool sent() const { return sent_; }  // it may have run
     int sends() const { return sends_; }
     // Asked before each hand-over: does the newest policy still allow it? A key may be revoked meanwhile.
     std::function<bool(Refusal*)> allowed;
     std::function<void(const std::string& service)> slot_free;  // someone in line may go
 
   private:
-    Do refuse(pith::Kind k, const char* why);
+    Do refuse(pith::Kind k, const char* why, pith::Micros retry_after = pith::kSecond);
+    Do elsewhere(pith::Micros now);
+    Do no_credit(pith::Micros now);
+    pith::Micros offer_by() const {
+        return p_.offer_by > 0 ? std::min(p_.offer_by, p_.deadline) : p_.deadline;
+    }
     void give_back(pith::Micros now, Outcome o);
 
     Plan p_;
     Pool& pool_;
     std::function<bool()> draw_;
-    std::set<std::string> not_these_;
+    std::vector<std::string> not_these_;
     Slot slot_;
     Refusal refusal_, last_;
     pith::Micros until_ = 0, t0_ = 0, pass_at_ = -pith::kNever;
     bool sent_ = false, given_up_ = false;
+    bool ran_ = false;   // an earlier send may have run
+    bool held_ = false;  // a server's 5xx, passed on where no other server is to be had
     int sends_ = 0, unsent_ = 0;
 };
 
--- a/packages/span/include/span/listing.hpp
+++ b/packages/span/include/span/listing.hpp
@@ -7,6 +7,7 @@
 
 namespace span {
 
-bool read_listing(const std::string& body, std::vector<weft::ServerRec>* v);
+// One page: appends to `v`; `next` is the token of the page after it, empty on the last one.
+bool read_listing(const std::string& body, std::vector<weft::ServerRec>* v, std::string* next);
 
 }  // namespace span
--- a/packages/span/include/span/plan.hpp
+++ b/packages/span/include/span/plan.hpp
@@ -24,6 +24,9 @@
     bool retry = false;         // a marked retry of the caller's
     pith::Micros deadline = 0;  // monotonic
     pith::Micros timeout = 0;   // for one try at a server
+    pith::Micros offer_by =
+        0;          // monotonic: not offered to any server by then, it is refused; 0: the deadline
+    int tries = 3;  // servers that it is sent to at most
     std::uint64_t bundle = 0;
 };
 
--- a/packages/span/include/span/relay.hpp
+++ b/packages/span/include/span/relay.hpp
@@ -58,7 +58,7 @@
     std::unique_ptr<Session> idle(const Slot& s);
     Step exchange(Session& s, const Plan& p, const Visit& v, pith::Micros until, Reply* r, bool* keep,
                   boost::asio::yield_context y);
-    void wait_in_line(const Plan& p, boost::asio::yield_context y);
+    void wait_in_line(const Plan& p, pith::Micros until, boost::asio::yield_context y);
     void keep(const Slot& s, std::unique_ptr<Session> x);
     static std::string key(const Slot& s) { return s.address + ' ' + s.instance + ' ' + s.service; }
 
--- a/packages/span/include/span/tries.hpp
+++ b/packages/span/include/span/tries.hpp
@@ -21,6 +21,8 @@
     bool begin(pith::Micros now, const std::string& customer, const std::string& id);
     void sent(const std::string& customer, const std::string& id);
     void let_go(const std::string& customer, const std::string& id);  // only where not sent
+    // Sent or not, it is known that nothing was run: the servers it was sent to said so.
+    void not_run(const std::string& customer, const std::string& id);
 
   private:
     struct One {
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -74,6 +74,7 @@
         near += proxy && sight ? 1 : 0;
         proxies += proxy && p.second.rec.state <= knell::kDraining ? 1 : 0;
     }
+    pool_->nodes(roster);
     const bool known = follower_.ready();
     // Of several that start at once none knows yet what the others let through.
     if (settled_ == pith::kNever && known) settled_ = now + t_.settle;
@@ -130,6 +131,7 @@
         c.well = pool_->well_since(well_told_);
         well_told_ = now;
     }
+    c.load = pool_->load_news(slow);
     last_counts_ = now;
     c.seq = ++counts_seq_;
     spread(c, d, false);
@@ -205,6 +207,7 @@
         else
             deaf_.erase(e.from);
         pool_->told_well(now, c->well);
+        pool_->told_load(now, e.from, e.inc, c->seq, c->load);
         return;
     }
     if (const auto* h = std::get_if<weft::Heartbeat>(&e.msg)) {
@@ -260,7 +263,8 @@
     if (v.empty() && !listing_.servers.empty()) return;  // an empty listing never wipes what is known
     auto same = [](const weft::ServerRec& a, const weft::ServerRec& b) {
         return a.address == b.address && a.service == b.service && a.instance == b.instance &&
-               a.state == b.state && a.locality == b.locality;
+               a.state == b.state && a.locality == b.locality && a.slots == b.slots &&
+               a.version == b.version;  // cold_us runs down by itself
     };
     const auto e = knell_.take("listing");
     const bool changed = v.size() != listing_.servers.size() ||
--- a/packages/span/src/errand.cpp
+++ b/packages/span/src/errand.cpp
@@ -8,7 +8,7 @@
 using pith::Micros;
 
 namespace {
-constexpr int kMostSends = 3;
+constexpr Micros kLook = 50 * pith::kMilli;  // between looks for a slot: what peers told fades
 constexpr int kMostUnsent = 8;
 // A pass not used so long has come back to the pool meanwhile: it is no longer good.
 constexpr Micros kPassGood = 100 * pith::kMilli;
@@ -38,13 +38,12 @@
         return;
     }
     e->planned = true;
-    if (pl->retry && !pool_.take_retry(pl->service)) {
+    if (pl->retry && !pool_.has_retry(pl->service)) {  // it is charged as it is sent
         e->refusal.error = {Kind::retry_budget,
                             "too many retries to this service: come back after retry_after_ms"};
         e->refusal.retry_after = 2 * pith::kSecond;
         return;
     }
-    if (!pl->retry) pool_.first_visit(pl->service);
     // A pass that comes with the deadline is of no use: some of the time left is kept for the server
     // (docs/design.md 6.3).
     const Micros keep = std::min<Micros>((pl->deadline - now) / 4, kForServer);
@@ -83,13 +82,13 @@
 }
 
 void Lobby::end(const Entry& e, bool sent) {
-    if (e.planned && !sent) tries_.let_go(e.plan.customer, e.plan.try_id);
+    if (e.planned && !sent) tries_.not_run(e.plan.customer, e.plan.try_id);
 }
 
-Do Errand::refuse(Kind k, const char* why) {
+Do Errand::refuse(Kind k, const char* why, Micros retry_after) {
     Refusal r;
     r.error = {k, why};
-    r.retry_after = pith::kSecond;
+    r.retry_after = retry_after;
     return no_pass(r);
 }
 
@@ -99,20 +98,28 @@
 }
 
 Do Errand::no_pass(const Refusal& r) {
-    refusal_ = sent_ ? last_ : r;  // what may have run: nothing later makes that untrue
+    if (held_) return Do::answer;
+    refusal_ = ran_ ? last_ : r;  // what may have run: nothing later makes that untrue
     refusal_.try_id = p_.try_id;
     return Do::refuse;
 }
 
+Micros Errand::wait_until(Micros now) const {
+    return std::min(now + kLook, std::max(now + pith::kMilli, ran_ ? p_.deadline : offer_by()));
+}
+
 Do Errand::again(Micros now) {
     if (given_up_) return refuse(Kind::stopping, "this machine is stopping: send it to another");
+    if (now >= p_.deadline && sends_ > 0) return no_pass(last_);
     if (now >= p_.deadline)
         return refuse(Kind::late, "the deadline passed before a server was free: come back shortly");
+    if (sends_ > 0 && !pool_.has_retry(p_.service)) return no_credit(now);
     bool known = false;
-    auto got = pool_.pick(now, p_.service, not_these_, &known);
-    if (!got && known && !not_these_.empty()) {
+    const Micros within = std::min(p_.timeout, p_.deadline - now);
+    auto got = pool_.pick(now, p_.service, not_these_, &known, within);
+    if (!got && known && !not_these_.empty() && !held_) {
         not_these_.clear();  // all others are busy or out: one that failed is better than none
-        got = pool_.pick(now, p_.service, not_these_, &known);
+        got = pool_.pick(now, p_.service, not_these_, &known, within);
     }
     if (got) {
         slot_ = *got;
@@ -126,8 +133,13 @@
         }
         return Do::open;
     }
+    if (held_) return Do::answer;
     if (!known)
         return refuse(Kind::no_server, "no server of this service is known to serve: come back shortly");
+    if (sends_ > 0 && !ran_ && now >= offer_by()) return no_pass(last_);
+    if (sends_ == 0 && now >= offer_by())
+        return refuse(Kind::crowded, "all servers of this service are busy: come back after retry_after_ms",
+                      std::clamp(2 * pool_.service_time(p_.service), 100 * pith::kMilli, pith::kSecond));
     return Do::wait;
 }
 
@@ -142,13 +154,27 @@
         return false;
     }
     if (stands && now < p_.deadline) {
+        // The budget is charged with the send itself, so that it holds over any time at the servers.
+        if ((sends_ > 0 || p_.retry) && !pool_.take_retry(p_.service)) {
+            give_back(now, Outcome::unused);
+            *otherwise = sends_ > 0
+                             ? no_credit(now)
+                             : refuse(Kind::retry_budget,
+                                      "too many retries to this service: come back after retry_after_ms",
+                                      2 * pith::kSecond);
+            return false;
+        }
+        if (sends_ == 0 && !p_.retry) pool_.first_visit(p_.service);
         until_ = std::min(p_.deadline, now + p_.timeout);
         ++sends_;
+        sent_ = true;
         return true;
     }
     give_back(now, !had && verdict == 1 ? Outcome::unproven : Outcome::unused);
-    not_these_.insert(slot_.address);
-    if (now >= p_.deadline)
+    not_these_.push_back(slot_.address);
+    if (now >= p_.deadline && sends_ > 0)
+        *otherwise = no_pass(last_);
+    else if (now >= p_.deadline)
         *otherwise =
             refuse(Kind::late, "the deadline passed before a server could be reached: come back shortly");
     else if (++unsent_ >= kMostUnsent)
@@ -158,15 +184,48 @@
     return false;
 }
 
+// What was not run may wait until others' first sends have earned one; what may have run is told at once.
+Do Errand::no_credit(Micros now) { return !ran_ && now < offer_by() ? Do::wait : no_pass(last_); }
+
+// Another server, within the tries, the time and the budget; else what was learnt so far.
+Do Errand::elsewhere(Micros now) {
+    if (given_up_ || sends_ >= p_.tries || now >= p_.deadline) return no_pass(last_);
+    not_these_.push_back(slot_.address);
+    pass_at_ = -pith::kNever;  // each send needs a pass of its own
+    return again(now);
+}
+
 Do Errand::exchanged(Micros now, Step s, int status) {
-    if (s != Step::unsent) sent_ = true;
     if (s == Step::answered) {
+        ran_ = true;
         give_back(now, status >= 500 ? Outcome::failed : Outcome::well);
-        return Do::answer;
+        held_ = false;
+        if (status < 500 || p_.write) return Do::answer;
+        // A read that failed there may go well elsewhere, if a server is free now; else its answer is passed
+        // on.
+        held_ = true;
+        return elsewhere(now);
+    }
+    if (s == Step::shed || s == Step::misdirected) {
+        give_back(now, s == Step::shed ? Outcome::shed : Outcome::misdirected);
+        sent_ = ran_;
+        if (!ran_) {
+            const bool full = s == Step::shed;
+            last_.error = {full ? Kind::crowded : Kind::no_server,
+                           full ? "the servers of this service are full: come back after retry_after_ms"
+                                : "no server of this service is where the listing says: come back shortly"};
+            last_.retry_after =
+                full ? std::clamp(2 * pool_.service_time(p_.service), 100 * pith::kMilli, pith::kSecond)
+                     : pith::kSecond;
+        }
+        return elsewhere(now);
     }
-    give_back(now, s == Step::late ? Outcome::slow : Outcome::lost);
-    if (s == Step::unsent)
+    give_back(now, s == Step::unsent ? Outcome::unused : s == Step::late ? Outcome::slow : Outcome::lost);
+    if (s == Step::unsent) {
+        sent_ = ran_;
         return refuse(Kind::late, "the deadline passed before it was sent: come back with a longer one");
+    }
+    ran_ = true;
     last_.ran_unknown = true;
     last_.retry_after = pith::kSecond;
     if (s == Step::late)
@@ -182,11 +241,8 @@
             Kind::answer_lost,
             "the server's answer was lost and it may have done it: ask for its state before a new try"};
     // A write is sent once. A read may go to another server, within the budget.
-    if (p_.write || given_up_ || sends_ >= kMostSends || now >= p_.deadline || !pool_.take_retry(p_.service))
-        return refuse(Kind::late, "");
-    not_these_.insert(slot_.address);
-    pass_at_ = -pith::kNever;  // each send needs a pass of its own
-    return again(now);
+    if (p_.write) return no_pass(last_);
+    return elsewhere(now);
 }
 
 }  // namespace span
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -147,7 +147,9 @@
         auto a = weft::call(ctl_->io, set_.platform, std::move(q), 2 * pith::kSecond, y);
         const Micros now = pith::mono_now();
         std::vector<weft::ServerRec> v;
-        if (a && a->result_int() == 200 && read_listing(a->body(), &v)) {
+        std::string next;
+        // A listing of several pages is not asked for here: a part of one is never taken for the whole.
+        if (a && a->result_int() == 200 && read_listing(a->body(), &v, &next) && next.empty()) {
             Todo d;
             core_->listed(now, std::move(v), &d);
             carry_out(d);
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -186,12 +186,11 @@
     return Step::garbled;
 }
 
-void Relay::wait_in_line(const Plan& p, asio::yield_context y) {
+void Relay::wait_in_line(const Plan& p, Micros until, asio::yield_context y) {
     auto w = std::make_shared<Waiter>(io_);
     // Also looked at now and then: an ejected server may return without a slot being freed.
-    const Micros now = pith::mono_now();
-    const bool in = hall_.stand_in_line(p.service, w);
-    w->timer.expires_at(at(std::min(p.deadline, now + (in ? 250 : 50) * pith::kMilli)));
+    hall_.stand_in_line(p.service, w);
+    w->timer.expires_at(at(until));
     boost::system::error_code ec;
     w->timer.async_wait(y[ec]);
 }
@@ -205,7 +204,7 @@
     Do d = e.start(began);
     while (d != Do::answer && d != Do::refuse) {
         if (d == Do::wait) {
-            wait_in_line(p, y);
+            wait_in_line(p, e.wait_until(pith::mono_now()), y);
             if (given_up_) e.give_up();
             d = e.again(pith::mono_now());
             continue;
--- a/packages/span/src/tries.cpp
+++ b/packages/span/src/tries.cpp
@@ -38,4 +38,11 @@
     if (i != s.t.end() && !i->second.sent) s.t.erase(i);
 }
 
+void Tries::not_run(const std::string& customer, const std::string& id) {
+    const std::string k = key(customer, id);
+    Shard& s = shard(k);
+    Lock l(s.m);
+    s.t.erase(k);
+}
+
 }  // namespace span
--- a/packages/span/test/harm.cpp
+++ b/packages/span/test/harm.cpp
@@ -60,13 +60,14 @@
         R"({"servers":[{"address":"10.0.0.9:80","service":"bids","instance":"i-7","locality":"a","state":"serving"},)"
         R"({"address":"10.0.0.8:80","service":"bids","instance":"i-8","locality":"b","state":"leaving"}]})";
     std::vector<weft::ServerRec> v;
-    BOOST_TEST(read_listing(whole, &v));
+    std::string next;
+    BOOST_TEST(read_listing(whole, &v, &next));
     BOOST_TEST(v.size() == 2u);
     pith::Rng r(12);
     int well = 0;
     for (int i = 0; i < 5000; ++i) {
         v.clear();
-        if (!read_listing(harm(r, whole), &v)) continue;
+        if (!read_listing(harm(r, whole), &v, &next)) continue;
         ++well;
         for (const auto& s : v)
             BOOST_REQUIRE(!s.service.empty() && !s.instance.empty() && !s.address.empty());
@@ -74,6 +75,32 @@
     BOOST_TEST(well < 4000);
 }
 
+BOOST_AUTO_TEST_CASE(a_listing_with_slots_warmth_versions_and_pages) {
+    std::vector<weft::ServerRec> v;
+    std::string next = "old";
+    const auto page = [](const std::string& more, const std::string& after) {
+        return R"({"servers":[{"address":"10.0.0.9:80","service":"bids","instance":"i-7")" + more + "}]" +
+               after + "}";
+    };
+    BOOST_REQUIRE(read_listing(page("", ""), &v, &next));
+    BOOST_TEST(next.empty());
+    BOOST_TEST(v[0].slots == 2u);
+    BOOST_TEST(v[0].cold_us == 0u);
+    v.clear();
+    BOOST_REQUIRE(
+        read_listing(page(R"(,"slots":4,"cold_ms":2500,"version":"v3")", R"(,"next":"p2")"), &v, &next));
+    BOOST_TEST(next == "p2");
+    BOOST_TEST(v[0].slots == 4u);
+    BOOST_TEST(v[0].cold_us == 2500000u);
+    BOOST_TEST(v[0].version == "v3");
+    BOOST_TEST(read_listing(page("", R"(,"next":null)"), &v, &next));
+    BOOST_TEST(next.empty());
+    for (const char* bad : {R"(,"slots":0)", R"(,"slots":-1)", R"(,"slots":"2")", R"(,"slots":1.5)",
+                            R"(,"cold_ms":-1)", R"(,"slots":100000)"})
+        BOOST_TEST(!read_listing(page(bad, ""), &v, &next), bad);
+    BOOST_TEST(!read_listing(page("", R"(,"next":7)"), &v, &next));
+}
+
 BOOST_AUTO_TEST_CASE(heads) {
     auto b = creed::read_bundle(kBundle);
     BOOST_REQUIRE(b.has_value());
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -34,8 +34,12 @@
 WEFT_STRUCT(CountRec, COUNT_REC)
 // well: hashes of servers that answered the sender well of late, which need no probe (docs/design.md 7.3)
 // silent: partners that the sender has not heard of late, so that they know (docs/design.md 6.5)
-#define COUNTS(F) \
-    F(U64, seq) F(std::vector<CountRec>, counts) F(std::vector<Str>, silent) F(std::vector<U64>, well)
+// load: requests in flight from the sender to servers where that changed, 24 bits of the server's hash above
+// 8 of the number (docs/design.md 7.3)
+#define COUNTS(F)                                                                          \
+    F(U64, seq)                                                                            \
+    F(std::vector<CountRec>, counts) F(std::vector<Str>, silent) F(std::vector<U64>, well) \
+        F(std::vector<U32>, load)
 WEFT_STRUCT(Counts, COUNTS)
 
 // -- operator's word (docs/design.md 5)
@@ -66,7 +70,12 @@
 WEFT_STRUCT(FeedSaid, FEED_SAID)
 
 // -- servers (docs/design.md 7)
-#define SERVER_REC(F) F(Str, address) F(Str, service) F(Str, instance) F(Str, locality) F(U8, state)
+// slots: requests that it works on at once (0: unsaid, two); cold_us: how much longer it stays slow after its
+// start
+#define SERVER_REC(F)                                                                            \
+    F(Str, address)                                                                              \
+    F(Str, service) F(Str, instance) F(Str, locality) F(U8, state) F(U32, slots) F(U64, cold_us) \
+        F(Str, version)
 WEFT_STRUCT(ServerRec, SERVER_REC)
 #define LISTING(F) F(U64, epoch) F(Str, holder) F(U64, version) F(std::vector<ServerRec>, servers)
 WEFT_STRUCT(Listing, LISTING)
