--- a/packages/span/include/span/plan.hpp
+++ b/packages/span/include/span/plan.hpp
@@ -27,9 +27,9 @@
     pith::Micros deadline = 0;  // monotonic
     pith::Micros timeout = 0;   // for one try at a server
     pith::Micros aim = 0;       // an answer within it has its full worth; 0: not said
-    pith::Micros offer_by = 0;  // unless it was handed to a server by then it is refused (docs/design.md 6.3)
+    pith::Micros offer_by = 0;  // unless it was handed to a server by then it is refused; 0: the deadline
     std::uint32_t priority = 0; // 0 is the highest: the customer's first, then the route's
-    std::uint32_t tries = 3;    // servers that it may be sent to, at most
+    int tries = 3;              // servers that it may be sent to, at most
     std::uint64_t bundle = 0;
 };
 
--- a/packages/span/include/span/relay.hpp
+++ b/packages/span/include/span/relay.hpp
@@ -60,7 +60,7 @@
                   bool* keep, boost::asio::yield_context y);
     void fill(const Plan& p, const Slot& slot, const Visit& v, pith::Micros left, Visit* q) const;
     static void idle_time(const Reply& in, Session* s);
-    void wait_in_line(const Plan& p, boost::asio::yield_context y);
+    void wait_in_line(const Plan& p, pith::Micros until, boost::asio::yield_context y);
     void keep(const Slot& s, std::unique_ptr<Session> x);
     static std::string key(const Slot& s) { return s.address + ' ' + s.instance + ' ' + s.service; }
 
--- a/packages/span/src/plan.cpp
+++ b/packages/span/src/plan.cpp
@@ -112,7 +112,7 @@
     a.aim = (*r)->aim;
     a.offer_by = a.aim > 0 ? std::min(a.deadline, now + a.aim / 4) : a.deadline;
     a.priority = (*c != nullptr ? (*c)->priority * 1000 : 0) + (*r)->priority;
-    a.tries = (*r)->tries;
+    a.tries = static_cast<int>((*r)->tries);
     a.bundle = p->number();
     return a;
 }
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -36,7 +36,12 @@
     return t;
 }
 
-PoolTuning pool_tuning(const pith::Bounds&) { return PoolTuning{}; }
+PoolTuning pool_tuning(const pith::Bounds& b) {
+    PoolTuning t;
+    t.budget = b.retry_ratio;
+    t.fleet_slack = b.retry_slack;
+    return t;
+}
 
 class Proxy : public Daemon {
   public:
@@ -165,13 +170,23 @@
         if (!d.probe.empty()) probe(std::move(d.probe));
     }
 
+    // Page after page; a part of a listing is never taken for the whole.
     void list(asio::yield_context y) {
-        ++hall_.tolls.listings;
-        weft::Ask q{weft::http::verb::get, hall_.dialect.list_target, 11};
-        auto a = weft::call(ctl_->io, set_.platform, std::move(q), 2 * pith::kSecond, y);
-        const Micros now = pith::mono_now();
+        constexpr int kMostPages = 1000;
         std::vector<weft::ServerRec> v;
-        if (a && a->result_int() == 200 && read_listing(a->body(), &v)) {
+        std::string next;
+        pith::Result<weft::Answer> a = pith::fail(Kind::unreachable, "not asked");
+        bool whole = false;
+        for (int i = 0; i < kMostPages && !whole; ++i) {
+            ++hall_.tolls.listings;
+            const std::string page = next.empty() ? "" : "?" + hall_.dialect.page_query + "=" + next;
+            weft::Ask q{weft::http::verb::get, hall_.dialect.list_target + page, 11};
+            a = weft::call(ctl_->io, set_.platform, std::move(q), 2 * pith::kSecond, y);
+            if (!a || a->result_int() != 200 || !read_listing(a->body(), &v, &next)) break;
+            whole = next.empty();
+        }
+        const Micros now = pith::mono_now();
+        if (whole) {
             Todo d;
             core_->listed(now, std::move(v), &d);
             carry_out(d);
