Large fleets: brief counts, news by few, feeds by two keepers, the listing by a strong node

Cause: at 80 nodes counts with names to all others filled links of 2 Mbit/s, each change of membership was told by all to all, each keeper pushed each bundle to each proxy, and the listing was spread by whoever drew the duty; a node's queues grew past its memory. Now counts take 12 bytes a customer, news goes to eight and on, two keepers tell a proxy, and a proxy beside a keeper asks the platform; queues to all peers together are bounded. In small fleets load at servers is told within the zone each 50 ms.

--- a/packages/knell/include/knell/knell.hpp
+++ b/packages/knell/include/knell/knell.hpp
@@ -21,6 +21,7 @@
     pith::Micros down_after = 1500 * pith::kMilli;
     pith::Micros forget_after = 600 * pith::kSecond;
     std::size_t watchers = 3;
+    std::size_t fan_out = 8;  // members that news goes to at once; those pass on what is news to them
 };
 
 // What heartbeats carry for the others (docs/design.md 4.2).
@@ -55,7 +56,9 @@
     std::uint64_t table() const;
 
     // Duties: is it ours now, under which epoch; what others claim (docs/design.md 4.4).
-    bool mine(const std::string& duty, const std::string& role) const;
+    // `hosts`: only members at one of these IP numbers are asked to do it.
+    bool mine(const std::string& duty, const std::string& role, const std::set<std::string>* hosts = nullptr) const;
+    const std::string& locality() const { return c_.locality; }
     std::uint64_t take(const std::string& duty);  // a new epoch above all heard
     bool holds(const std::string& duty) const;
     bool accept(const std::string& duty, std::uint64_t epoch, const std::string& holder);
@@ -66,7 +69,8 @@
     std::vector<const Member*> watchers() const;
     void merge(pith::Micros now, const weft::MemberRec& r, std::vector<weft::MemberRec>* news,
                weft::Out* out);
-    void spread(const std::vector<weft::MemberRec>& v, weft::Out* out) const;
+    void spread(const std::vector<weft::MemberRec>& v, weft::Out* out, bool all = false);
+    std::size_t turn_ = 0;
     std::vector<weft::MemberRec> all() const;
 
     Config c_;
--- a/packages/knell/src/knell.cpp
+++ b/packages/knell/src/knell.cpp
@@ -71,11 +71,20 @@
     return v;
 }
 
-void Knell::spread(const std::vector<MemberRec>& v, Out* out) const {
+// To all in a small fleet; in a large one to a few, at even distances round the ring from one that changes: each for
+// whom it is news passes it on, and what is missed shows in the tables' hashes (docs/design.md 4.2).
+void Knell::spread(const std::vector<MemberRec>& v, Out* out, bool all_of_them) {
     if (v.empty()) return;
     weft::News n;
     n.members = v;
-    for (const auto* m : live()) out->push_back({m->rec.address, n});
+    const auto to = live();
+    if (all_of_them || to.size() <= 3 * c_.fan_out) {
+        for (const auto* m : to) out->push_back({m->rec.address, n});
+        return;
+    }
+    turn_ += 1 + (pith::hash64(c_.name) & 7);
+    for (std::size_t i = 0; i < c_.fan_out; ++i)
+        out->push_back({to[(turn_ + i * to.size() / c_.fan_out) % to.size()]->rec.address, n});
 }
 
 void Knell::merge(pith::Micros now, const MemberRec& r, std::vector<MemberRec>* news, Out* out) {
@@ -252,14 +261,17 @@
     if (state_ == s) return;
     state_ = s;
     ++version_;
-    spread({self()}, out);
+    spread({self()}, out, true);
 }
 
-bool Knell::mine(const std::string& duty, const std::string& role) const {
-    if (state_ != kLive) return false;
+bool Knell::mine(const std::string& duty, const std::string& role, const std::set<std::string>* hosts) const {
+    const auto fit = [hosts](const std::string& a) {
+        return hosts == nullptr || hosts->count(a.substr(0, a.rfind(':'))) != 0;
+    };
+    if (state_ != kLive || !fit(c_.address)) return false;
     const std::uint64_t me = pith::hash64(duty + '@' + c_.name);
     for (const auto* m : live(role))
-        if (m->rec.state == kLive && pith::hash64(duty + '@' + m->rec.name) < me) return false;
+        if (m->rec.state == kLive && fit(m->rec.address) && pith::hash64(duty + '@' + m->rec.name) < me) return false;
     return true;
 }
 
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -21,6 +21,8 @@
     // Where the operators' bound has a tolerance, customers are told of by need, and each that changed so often:
     pith::Micros told_latest = pith::kSecond;
     pith::Micros keep_each = 12 * pith::kMilli;  // keep-alives: a node's cost stays as the fleet grows
+    std::size_t large = 24;  // proxies; above it a node tells less, and knows less of what others do
+    pith::Micros load_every = 50 * pith::kMilli;
     double much = 0.02;                              // of a second's allowance
     pith::Micros nap = 100 * pith::kMilli;           // between ticks where nobody waits and all is told
     pith::Micros counts_slow = 400 * pith::kMilli;   // where nothing did
@@ -82,6 +84,7 @@
     void counts(pith::Micros now, const std::vector<tide::Count>& v, Todo* d);
     void cadence();  // of words, and of what follows from it
     void world(pith::Micros now);
+    bool lister() const;
     void spread(const weft::Msg& m, Todo* d, bool keepers_too);
 
     knell::Knell knell_;
@@ -112,7 +115,7 @@
     bool all_next_ = true;                  // partners that are new need a baseline of every customer
     std::map<std::string, tide::Worst> worst_;
     pith::Micros next_worst_ = 0;
-    pith::Micros next_soon_ = 0, next_pull_ = 0;
+    pith::Micros next_soon_ = 0, next_pull_ = 0, next_load_ = 0;
     std::uint64_t counts_seq_ = 0, refused_ = 0;
     tide::Standing standing_ = tide::Standing::floor;
     bool lonely_ = false, quiet_ = false;
--- a/packages/span/include/span/pool.hpp
+++ b/packages/span/include/span/pool.hpp
@@ -2,6 +2,7 @@
 // Which server a visit goes to: listing, marks, probes and what sessions show (docs/design.md 7.3).
 // A state machine under one short lock a shard; it opens no session itself.
 #include <atomic>
+#include <atomic>
 #include <deque>
 #include <map>
 #include <memory>
@@ -150,6 +151,8 @@
 
     std::string node_, locality_;
     PoolTuning t_;
+    std::atomic<double> sticky_{t_.sticky};       // as the fleet's size has it
+    std::atomic<std::size_t> subset_{t_.subset};
     std::mutex m_;  // of the map only
     std::map<std::string, std::unique_ptr<Shard>> shards_;
     std::map<std::string, bool> marks_;
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -1,6 +1,7 @@
 #include "span/core.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace span {
 
@@ -49,6 +50,9 @@
         i = a.count(i->first) == 0 ? told_.erase(i) : std::next(i);
     all_next_ = true;
     basin_->allowances(now, a, &d->left);
+    std::vector<std::string> names;
+    for (const auto& c : policy_->bundle().customers) names.push_back(c.first);
+    tally_.customers(names);
     d->policy = true;
 }
 
@@ -168,22 +172,37 @@
         }
         if (!tell && !all) continue;
         old = {r.rec.released, r.rec.queued, now};
-        c.counts.push_back(r.rec);
+        if (tolerant)
+            weft::put_brief(&c.brief, {weft::brief_hash(r.rec.customer), static_cast<std::uint32_t>(r.rec.released),
+                                       static_cast<std::uint32_t>(r.rec.rate_milli / 100), r.rec.queued});
+        else
+            c.counts.push_back(r.rec);
     }
     if (all) all_next_ = false;
     c.silent = deaf;
-    if (c.counts.empty() && !slow && c.silent == silent_) return;
+    if (c.counts.empty() && c.brief.empty() && !slow && c.silent == silent_) return;
     silent_ = c.silent;
-    if (now - well_told_ >= t_.well_every) {
+    const bool large = fleet_ > t_.large;
+    if (!large && now - well_told_ >= t_.well_every) {
         c.well = pool_->well_since(well_told_);
         well_told_ = now;
     }
-    c.load = pool_->load_news(slow);
+    if (!large) c.load = pool_->load_news(true);
     last_counts_ = now;
     c.seq = ++counts_seq_;
     spread(c, d, false);
 }
 
+// One node asks the platform. In a large fleet it is one beside a keeper: such machines have the links to tell all
+// (docs/design.md 7.2).
+bool ProxyCore::lister() const {
+    if (fleet_ <= t_.large) return knell_.mine("listing", "proxy");
+    std::set<std::string> hosts;
+    for (const auto* m : knell_.live("keeper")) hosts.insert(m->rec.address.substr(0, m->rec.address.rfind(':')));
+    if (hosts.empty()) return knell_.mine("listing", "proxy");
+    return knell_.mine("listing", "proxy", &hosts);
+}
+
 void ProxyCore::tick(Micros now, Todo* d) {
     knell_.tick(now, &d->out);
     if (discovered_) {
@@ -211,7 +230,7 @@
                 now, static_cast<double>(c.rec.released) + tally_.told(c.rec.customer));
     }
     // The listing is one node's duty, under an epoch (docs/design.md 7.2).
-    if (knell_.mine("listing", "proxy") && follower_.ready()) {
+    if (lister() && follower_.ready()) {
         const auto e = knell_.take("listing");
         if (!listing_busy_ && now >= next_list_) {
             listing_busy_ = true;
@@ -245,7 +264,18 @@
     // What a server said of its own leaving, to any of us, is told to all (docs/design.md 7.3).
     const auto gone = pool_->leaving_news();
     if (!gone.empty()) spread(weft::Probes{gone}, d, false);
-    if (now >= next_probe_) {
+    // Within a zone bytes are cheap, and what peers have in flight decides: told between counts (docs/design.md 7.3).
+    if (fleet_ <= t_.large && now >= next_load_) {
+        next_load_ = now + t_.load_every;
+        weft::Load l;
+        l.load = pool_->load_news(false);
+        if (!l.load.empty()) {
+            l.seq = ++counts_seq_;
+            for (const auto* m : knell_.live("proxy"))
+                if (m->rec.locality == knell_.locality()) d->out.push_back({m->rec.address, l});
+        }
+    }
+    if (now >= next_probe_ && fleet_ <= t_.large) {
         next_probe_ = now + t_.probe_every;
         for (const auto& r : pool_->unseen_since(now - t_.probe_every))
             if (knell_.mine("probe/" + r.address, "proxy")) d->probe.push_back(r);
@@ -266,6 +296,10 @@
         pool_->told_load(now, e.from, e.inc, c->seq, c->load);
         return;
     }
+    if (const auto* l = std::get_if<weft::Load>(&e.msg)) {
+        pool_->told_load(now, e.from, e.inc, l->seq, l->load);
+        return;
+    }
     if (const auto* h = std::get_if<weft::Heartbeat>(&e.msg)) {
         if (!fresh || h->commit <= (policy_ == nullptr ? 0 : policy_->number())) return;
         follower_.hurry(now);
--- a/packages/span/src/pool.cpp
+++ b/packages/span/src/pool.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaxServices = 64;
 constexpr std::size_t kMaxGone = 2048;
 constexpr std::size_t kMaxPeers = 512;
+constexpr std::size_t kLarge = 24, kSubset = 5;
+constexpr double kSticky = 0.4;
 constexpr double kFirstTime = 50e3, kForget = 10e6, kCold = 2, kHope = 0.85;
 constexpr double kLately = 20;  // answers that the share of failures is of
 constexpr Micros kMovedFor = 10 * pith::kSecond, kPeerGone = 3 * pith::kSecond;
@@ -60,6 +62,10 @@
 
 void Pool::nodes(std::size_t n) {
     if (n > nodes_) nodes_ = n;
+    // In a large fleet peers' load is not told: a server is shared by few nodes instead (docs/design.md 7.3).
+    const bool large = n > kLarge;
+    subset_ = large ? kSubset : t_.subset;
+    sticky_ = large ? kSticky : t_.sticky;
 }
 
 // Decays in a peer's word of its load are all of one rate, so that their sum can be kept.
@@ -121,7 +127,7 @@
         v.emplace_back(w, &p.second);
     }
     std::sort(v.begin(), v.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    for (std::size_t i = 0; i < v.size() && i < t_.subset; ++i) v[i].second->sticky = true;
+    for (std::size_t i = 0; i < v.size() && i < subset_; ++i) v[i].second->sticky = true;
 }
 
 void Pool::listing(Micros now, const weft::Listing& l) {
@@ -273,7 +279,7 @@
         if (v.flight >= free && e > static_cast<double>(within)) continue;
         e /= p * p;
         if (v.rec.locality != locality_) e += t_.zone * mean;
-        if (!v.sticky) e += t_.sticky * mean;
+        if (!v.sticky) e += sticky_ * mean;
         if (v.probe_bad) e += 1e9;
         e *= 1 + t_.jitter * s->rng.unit();
         if (best == nullptr || e < least) {
--- a/packages/tide/include/tide/tally.hpp
+++ b/packages/tide/include/tide/tally.hpp
@@ -2,6 +2,7 @@
 // What the partners released, as they tell it: cumulative, by incarnation (docs/design.md 6.4).
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "pith/time.hpp"
@@ -27,6 +28,8 @@
     };
     explicit Tally(Times t) : t_(t) {}
     void times(const Times& t) { t_ = t; }
+    // Names by their hashes, for brief counts; those of others are passed over.
+    void customers(const std::vector<std::string>& names);
     bool doubts(pith::Micros now) const;  // a partner is silent: shares are needed
 
     std::vector<Sensed> hear(pith::Micros now, const std::string& from, std::uint64_t inc,
@@ -65,7 +68,10 @@
     };
     double sum(const std::string& customer, double One::*what) const;
 
+    void unfold(const weft::Counts& c, const Partner& p, std::vector<weft::CountRec>* v) const;
+
     Times t_;
+    std::unordered_map<std::uint32_t, std::string> names_;
     std::map<std::string, Partner> p_;
     std::map<std::string, double> told_;
     pith::Micros capped_until_ = -pith::kNever;
--- a/packages/tide/src/tally.cpp
+++ b/packages/tide/src/tally.cpp
@@ -7,13 +7,33 @@
 using pith::Micros;
 
 namespace {
-constexpr std::size_t kMaxPartners = 256;
+constexpr std::size_t kMaxPartners = 512;
 constexpr std::size_t kMaxCustomers = 1024;
 constexpr Micros kStall =
     200 * pith::kMilli;         // between our own ticks; more means that we ourselves stood still
 constexpr double kFirst = 0.2;  // seconds of its rate charged when a partner is first heard
 }  // namespace
 
+void Tally::customers(const std::vector<std::string>& names) {
+    names_.clear();
+    for (const auto& n : names) names_.emplace(weft::brief_hash(n), n);
+}
+
+// Brief counts as whole ones: the high half of what was released is the nearest to what is known.
+void Tally::unfold(const weft::Counts& c, const Partner& p, std::vector<weft::CountRec>* v) const {
+    weft::BriefCount b;
+    for (std::size_t i = 0; weft::get_brief(c.brief, i, &b); ++i) {
+        const auto n = names_.find(b.customer);
+        if (n == names_.end()) continue;
+        const auto k = p.by.find(n->second);
+        const std::uint64_t old = k == p.by.end() ? 0 : k->second.released;
+        const std::uint64_t now = old + static_cast<std::uint32_t>(b.released - static_cast<std::uint32_t>(old));
+        // Less than before, as a word come late or of another life has it, is no wrap.
+        const bool back = now - old > UINT32_MAX / 2;
+        v->push_back({n->second, back ? b.released : now, b.rate_deci * 100ULL, b.queued});
+    }
+}
+
 std::vector<Sensed> Tally::hear(Micros now, const std::string& from, std::uint64_t inc,
                                 const weft::Counts& c) {
     std::vector<Sensed> v;
@@ -42,7 +62,9 @@
         for (auto& o : p.by) o.second.gap = gap;
     p.heard = now;
     p.ticked = now;
-    for (const auto& r : c.counts) {
+    std::vector<weft::CountRec> counts = c.counts;
+    unfold(c, p, &counts);
+    for (const auto& r : counts) {
         if (p.by.size() >= kMaxCustomers && p.by.count(r.customer) == 0) break;
         One& o = p.by[r.customer];
         double d = 0;
--- a/packages/vault/src/feed.cpp
+++ b/packages/vault/src/feed.cpp
@@ -27,7 +27,10 @@
         q.feed == id_ && q.place <= place_ && (last_.empty() || q.place + 1 >= last_.front().place);
     if (follows) {
         for (const auto& c : last_)
-            if (c.place > q.place) r.changes.push_back(c);
+            if (c.place > q.place) {
+                r.changes.push_back(c);
+                if (c.kind == kBundle && c.number <= q.commit) r.changes.back().text.clear();  // known there
+            }
         return r;
     }
     r.digest = 1;
@@ -49,7 +52,8 @@
         Track& t = p.second;
         // Electors are asked also where they are called down: after a cut that word may be ours alone.
         if (now < t.next || !(t.live || is_elector(p.first))) continue;
-        t.next = now + (t.digested ? period_ : period_ / 4);
+        t.next = now + (t.digested ? period_ * std::max<pith::Micros>(1, static_cast<pith::Micros>(tracks_.size()) / 3)
+                                   : period_ / 4);
         out->push_back({t.address, weft::FeedAsk{t.feed, t.place, commit}});
     }
 }
--- a/packages/vault/src/keeper.cpp
+++ b/packages/vault/src/keeper.cpp
@@ -1,11 +1,14 @@
 #include "vault/keeper.hpp"
 
+#include "pith/hash.hpp"
+
 namespace vault {
 
 using pith::Micros;
 
 namespace {
 constexpr std::size_t kMaxMarks = 512;
+constexpr std::size_t kTell = 2;  // keepers that tell a proxy of a change at once
 }
 
 KeeperCore::KeeperCore(knell::Config k, VaultConfig v, Held h, std::uint64_t nonce)
@@ -36,7 +39,14 @@
 
 void KeeperCore::spread_feed(Acts* a) {
     const auto n = feed_.news();
-    for (const auto* m : knell_.live("proxy")) a->out.push_back({m->rec.address, n});
+    // Each proxy is told by two of those keepers that live; it asks the others, and its peers, by itself.
+    const auto ks = knell_.live("keeper");
+    for (const auto* m : knell_.live("proxy")) {
+        const auto far = [m](const std::string& k) { return pith::hash64(m->rec.name + '|' + k); };
+        std::size_t before = 0;
+        for (const auto* k : ks) before += far(k->rec.name) < far(knell_.name()) ? 1 : 0;
+        if (before < kTell) a->out.push_back({m->rec.address, n});
+    }
 }
 
 void KeeperCore::told(Acts* a) {
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -36,11 +36,26 @@
 // silent: partners that the sender has not heard of late, so that they know (docs/design.md 6.5)
 // load: requests in flight from the sender to servers where that changed, 24 bits of the server's hash above
 // 8 of the number (docs/design.md 7.3)
+// brief: the same counts in twelve bytes each, by the hash of the customer's name (BriefCount)
 #define COUNTS(F)                                                                          \
     F(U64, seq)                                                                            \
     F(std::vector<CountRec>, counts) F(std::vector<Str>, silent) F(std::vector<U64>, well) \
-        F(std::vector<U32>, load)
+        F(std::vector<U32>, load) \
+        F(Str, brief)
 WEFT_STRUCT(Counts, COUNTS)
+// Requests in flight at servers, told within a zone between counts (docs/design.md 7.3).
+#define LOAD(F) F(U64, seq) F(std::vector<U32>, load)
+WEFT_STRUCT(Load, LOAD)
+
+// A count as it stands in Counts.brief: what it released is modulo 2^32, and known from the count before.
+struct BriefCount {
+    U32 customer = 0, released = 0;
+    U32 rate_deci = 0, queued = 0;  // at most 65535
+};
+U32 brief_hash(const Str& customer);
+void put_brief(Str* to, const BriefCount& c);
+bool get_brief(const Str& from, std::size_t i, BriefCount* c);  // the i-th, false where there is none
+
 
 // -- operator's word (docs/design.md 5)
 #define STAGE_ASK(F) F(U64, op) F(U64, number) F(Str, hash) F(Str, text)
@@ -105,7 +120,7 @@
     X(5, StageAsk)                                                                                  \
     X(6, StageSaid)                                                                                 \
     X(7, CommitAsk) X(8, CommitSaid) X(9, StateAsk) X(10, StateSaid) X(11, FeedAsk) X(12, FeedSaid) \
-        X(13, Listing) X(14, ListingAsk) X(15, Probes) X(16, Propose)
+        X(13, Listing) X(14, ListingAsk) X(15, Probes) X(16, Propose) X(17, Load)
 
 #define X(t, n) , n
 using Msg = std::variant<std::monostate WEFT_MESSAGES(X)>;
--- a/packages/weft/src/frame.cpp
+++ b/packages/weft/src/frame.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "pith/hash.hpp"
 #include "weft/messages.hpp"
 
@@ -31,6 +33,34 @@
 };
 }  // namespace
 
+U32 brief_hash(const Str& customer) { return static_cast<U32>(pith::hash64(customer)); }
+
+namespace {
+constexpr std::size_t kBrief = 12;
+void put_le(Str* to, U32 v, int bytes) {
+    for (int i = 0; i < bytes; ++i) to->push_back(static_cast<char>(v >> (8 * i)));
+}
+U32 get_le(const char* b, int bytes) {
+    U32 v = 0;
+    for (int i = 0; i < bytes; ++i) v |= static_cast<U32>(static_cast<unsigned char>(b[i])) << (8 * i);
+    return v;
+}
+}  // namespace
+
+void put_brief(Str* to, const BriefCount& c) {
+    put_le(to, c.customer, 4);
+    put_le(to, c.released, 4);
+    put_le(to, std::min<U32>(c.rate_deci, 65535), 2);
+    put_le(to, std::min<U32>(c.queued, 65535), 2);
+}
+
+bool get_brief(const Str& from, std::size_t i, BriefCount* c) {
+    if ((i + 1) * kBrief > from.size()) return false;
+    const char* b = from.data() + i * kBrief;
+    *c = {get_le(b, 4), get_le(b + 4, 4), get_le(b + 8, 2), get_le(b + 10, 2)};
+    return true;
+}
+
 const char* msg_name(const Msg& m) { return std::visit(Namer{}, m); }
 
 const char* fault_text(Fault f) {
--- a/packages/weft/src/plain.cpp
+++ b/packages/weft/src/plain.cpp
@@ -30,7 +30,8 @@
 
 constexpr std::size_t kDatagram = 1400;   // one packet on any link
 constexpr std::size_t kMostQueued = 128;  // frames to one peer
-constexpr std::size_t kMostBytes = 2 * kMaxFrame;
+constexpr std::size_t kMostBytes = kMaxFrame + 65536;  // to one peer
+constexpr std::size_t kMostInAll = kMaxFrame + kMaxFrame / 4;  // to all of them together
 constexpr std::size_t kMostPeers = 2048;
 constexpr std::size_t kMostIncoming = 2048;
 constexpr int kUnheardMs = 2000;  // a stream whose peer acknowledges nothing for so long is given up
@@ -56,12 +57,16 @@
 // The stream to one peer: opened when there is something to say, closed after a while of silence.
 class Outgoing : public std::enable_shared_from_this<Outgoing> {
   public:
-    Outgoing(asio::io_context& io, tcp::endpoint to) : socket_(io), timer_(io), to_(std::move(to)) {}
+    Outgoing(asio::io_context& io, tcp::endpoint to, std::shared_ptr<std::size_t> all)
+        : socket_(io), timer_(io), to_(std::move(to)), all_(std::move(all)) {}
+    ~Outgoing() { *all_ -= bytes_; }
 
     bool send(const std::string& f) {
-        if (q_.size() >= kMostQueued || bytes_ + f.size() > kMostBytes) return false;
+        if (q_.size() >= kMostQueued || bytes_ + f.size() > kMostBytes || *all_ + f.size() > kMostInAll)
+            return false;
         if (state_ == failed) return false;
         bytes_ += f.size();
+        *all_ += f.size();
         q_.push_back(f);
         if (state_ == closed) connect();
         if (state_ == open && !writing_) write();
@@ -72,7 +77,7 @@
         state_ = failed;
         socket_.close(ec);
         timer_.cancel();
-        q_.clear();
+        forget();
     }
 
   private:
@@ -99,8 +104,7 @@
     void fail() {
         Code ec;
         socket_.close(ec);
-        q_.clear();
-        bytes_ = 0;
+        forget();
         writing_ = false;
         state_ = failed;
         timer_.expires_after(kAgain);
@@ -118,11 +122,17 @@
             if (e) return me->fail();
             me->writing_ = false;
             me->bytes_ -= me->q_.front().size();
+            *me->all_ -= me->q_.front().size();
             me->q_.pop_front();
             me->rest();
             me->write();
         });
     }
+    void forget() {
+        *all_ -= bytes_;
+        bytes_ = 0;
+        q_.clear();
+    }
     void rest() {
         timer_.expires_after(kIdle);
         timer_.async_wait([me = shared_from_this()](Code e) {
@@ -139,6 +149,7 @@
     State state_ = closed;
     std::deque<std::string> q_;
     std::size_t bytes_ = 0;
+    std::shared_ptr<std::size_t> all_;  // bytes queued to all peers
     bool writing_ = false;
     std::array<unsigned char, 4> head_{};
 };
@@ -227,7 +238,7 @@
         auto i = out_.find(address);
         if (i == out_.end()) {
             if (out_.size() >= kMostPeers) return false;
-            i = out_.emplace(address, std::make_shared<Outgoing>(io_, endpoint(address))).first;
+            i = out_.emplace(address, std::make_shared<Outgoing>(io_, endpoint(address), queued_)).first;
         }
         return i->second->send(f);
     }
@@ -277,6 +288,7 @@
     asio::steady_timer again_;
     Take take_;
     std::map<std::string, std::shared_ptr<Outgoing>> out_;
+    std::shared_ptr<std::size_t> queued_ = std::make_shared<std::size_t>(0);
     std::size_t in_ = 0;
     std::array<char, 2048> got_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
