span: peers that are missed are told by hash, with the next word where the fleet is large

Cause: counts of 840 to 1100 bytes, most of it names of peers not heard, each change of that list told at once; so full links made longer frames (traffic events, 300 KB/s a node).

--- a/packages/span/src/common.cpp
+++ b/packages/span/src/common.cpp
@@ -33,6 +33,31 @@
     });
 }
 
+void Control::watch_traffic(pith::Micros now) {
+    constexpr pith::Micros kEvery = 5 * pith::kSecond;
+    constexpr std::uint64_t kMuch = 30000;  // bytes a second
+    if (now - traffic_at_ < kEvery) return;
+    const auto& t = link.tally();
+    const std::uint64_t rate =
+        (t.sent_bytes - traffic_was_) * 1000000 / static_cast<std::uint64_t>(now - traffic_at_);
+    if (traffic_at_ != 0 && rate > kMuch) {
+        std::string most;
+        std::uint64_t bytes = 0, frames = 0;
+        for (const auto& k : t.kinds) {
+            const auto was = kinds_were_[k.first];
+            if (k.second.second - was.second <= bytes) continue;
+            bytes = k.second.second - was.second;
+            frames = k.second.first - was.first;
+            most = k.first;
+        }
+        log_event(Level::warn, "traffic",
+                  {{"bytes_per_s", rate}, {"most", most}, {"frames", frames}, {"bytes", bytes}});
+    }
+    traffic_at_ = now;
+    traffic_was_ = t.sent_bytes;
+    kinds_were_ = t.kinds;
+}
+
 bool may_change(const pith::Settings& s, const weft::Ask& q, const weft::Desk::Reply& r) {
     if (s.operator_token.empty() || q["Marble-Operator"] == s.operator_token) return true;
     r(weft::error_answer(
--- a/packages/span/src/common.hpp
+++ b/packages/span/src/common.hpp
@@ -39,6 +39,8 @@
     }
 
     void common_desk();
+    // Tells which messages fill the links, where they are more than they should be (docs/operators.md).
+    void watch_traffic(pith::Micros now);
     int exit_code = 0;
     std::function<void()> hup;  // on SIGHUP, in place of changing the log level
 
@@ -47,6 +49,9 @@
     boost::asio::signal_set signals_;
     std::function<void()> drain_;
     bool draining_ = false, debug_ = false;
+    pith::Micros traffic_at_ = 0;
+    std::uint64_t traffic_was_ = 0;
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> kinds_were_;
 };
 
 knell::Config knell_config(const pith::Settings& s, const std::string& role, std::uint64_t inc);
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -152,7 +152,9 @@
     const bool slow = now - last_counts_ >= keep_, tolerant = basin_->tolerant();
     const auto deaf = silent(now);
     if (now < next_counts_ && !much) return;
-    if (tolerant && !much && !slow && deaf == silent_) return;
+    const bool large = fleet_ > t_.large;
+    // In a large fleet whom we miss is told with the next word: it changes all the time while links are full.
+    if (tolerant && !much && !slow && (large || deaf == silent_)) return;
     next_counts_ = now + t_.counts_every;
     weft::Counts c;
     std::vector<tide::Count> every;
@@ -179,10 +181,12 @@
             c.counts.push_back(r.rec);
     }
     if (all) all_next_ = false;
-    c.silent = deaf;
-    if (c.counts.empty() && c.brief.empty() && !slow && c.silent == silent_) return;
-    silent_ = c.silent;
-    const bool large = fleet_ > t_.large;
+    if (tolerant)
+        for (const auto& n : deaf) c.silent_brief.push_back(weft::brief_hash(n));
+    else
+        c.silent = deaf;
+    if (c.counts.empty() && c.brief.empty() && !slow && deaf == silent_) return;
+    silent_ = deaf;
     if (!large && now - well_told_ >= t_.well_every) {
         c.well = pool_->well_since(well_told_);
         well_told_ = now;
@@ -288,7 +292,9 @@
         const bool met = tally_.knows(e.from, e.inc);
         basin_->sense(now, tally_.hear(now, e.from, e.inc, *c), tally_);
         all_next_ = all_next_ || !met;
-        if (std::find(c->silent.begin(), c->silent.end(), knell_.name()) != c->silent.end())
+        const auto& sb = c->silent_brief;
+        if (std::find(c->silent.begin(), c->silent.end(), knell_.name()) != c->silent.end() ||
+            std::find(sb.begin(), sb.end(), weft::brief_hash(knell_.name())) != sb.end())
             deaf_[e.from] = now;
         else
             deaf_.erase(e.from);
--- a/packages/span/src/keeperd.cpp
+++ b/packages/span/src/keeperd.cpp
@@ -152,6 +152,7 @@
   private:
     void tick() {
         ctl_->link.inc(core_->knell().inc());
+        ctl_->watch_traffic(pith::mono_now());
         vault::Acts a;
         core_->tick(pith::mono_now(), &a);
         carry_out(a);
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -129,6 +129,7 @@
         Todo d;
         const Micros now = pith::mono_now();
         ctl_->link.inc(core_->knell().inc());
+        ctl_->watch_traffic(now);
         core_->tick(now, &d);
         carry_out(d);
         if (now >= next_sweep_) {
--- a/packages/weft/include/weft/link.hpp
+++ b/packages/weft/include/weft/link.hpp
@@ -16,6 +16,7 @@
 namespace weft {
 
 struct LinkTally {
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> kinds;  // sent, bytes, by message
     std::uint64_t sent = 0, sent_bytes = 0, unsent = 0, heard = 0, heard_bytes = 0, dropped = 0;
 };
 
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -36,12 +36,13 @@
 // silent: partners that the sender has not heard of late, so that they know (docs/design.md 6.5)
 // load: requests in flight from the sender to servers where that changed, 24 bits of the server's hash above
 // 8 of the number (docs/design.md 7.3)
+// silent_brief: `silent` by brief_hash of their names
 // brief: the same counts in twelve bytes each, by the hash of the customer's name (BriefCount)
 #define COUNTS(F)                                                                          \
     F(U64, seq)                                                                            \
     F(std::vector<CountRec>, counts) F(std::vector<Str>, silent) F(std::vector<U64>, well) \
         F(std::vector<U32>, load) \
-        F(Str, brief)
+        F(Str, brief) F(std::vector<U32>, silent_brief)
 WEFT_STRUCT(Counts, COUNTS)
 // Requests in flight at servers, told within a zone between counts (docs/design.md 7.3).
 #define LOAD(F) F(U64, seq) F(std::vector<U32>, load)
--- a/packages/weft/src/link.cpp
+++ b/packages/weft/src/link.cpp
@@ -170,6 +170,9 @@
     } else {
         ++tally_.sent;
         tally_.sent_bytes += b.size();
+        auto& k = tally_.kinds[msg_name(m)];
+        ++k.first;
+        k.second += b.size();
     }
 }
 
