--- a/packages/loom/src/main.cpp
+++ b/packages/loom/src/main.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <thread>
 
+#include "loom/capacity.hpp"
 #include "loom/figures.hpp"
 #include "loom/scenario.hpp"
 #include "pith/flags.hpp"
@@ -26,12 +27,15 @@
     figures, "",
     "only requests at the servers of one service: name=value,… of nodes servers load cadence_ms even slow "
     "grey cold run_s, and of the pool: peer_weight peer_ms zone sticky subset jitter extra slack");
+DEFINE_string(capacity, "",
+              "only what nodes cost: name=value,… of nodes keepers tenants routes servers services rate patterns "
+              "events run_s; one name may have several values, as nodes=15:50:100, and is fitted over them");
 DEFINE_int32(threads, 8, "runs at a time");
 
 namespace {
 
 const std::vector<std::string> kFlags = {"scenario", "deployment", "seeds", "quiet",   "break_rule",
-                                         "tune",     "counts_ms",  "much",  "figures", "threads"};
+                                         "tune",     "counts_ms",  "much",  "figures", "capacity", "threads"};
 
 std::vector<std::string> split(const std::string& s) {
     std::vector<std::string> v;
@@ -116,6 +120,49 @@
     return true;
 }
 
+// Runs one load, or one for each value of the name that has several; prints all costs, and fits.
+bool capacities(const std::string& s, std::uint64_t from, std::uint64_t to) {
+    std::string head, name;
+    std::vector<std::string> values{""};
+    for (const auto& e : split(s)) {
+        const auto i = e.find('=');
+        if (i == std::string::npos || e.find(':', i) == std::string::npos) {
+            head += e + ",";
+            continue;
+        }
+        if (!name.empty()) return false;  // one name only has several values
+        name = e.substr(0, i);
+        values.clear();
+        for (std::size_t at = i + 1; at <= e.size();) {
+            const auto end = std::min(e.find(':', at), e.size());
+            values.push_back(e.substr(at, end - at));
+            at = end + 1;
+        }
+    }
+    std::map<std::string, std::multimap<double, double>> points;
+    for (const auto& v : values) {
+        loom::Load l;
+        const std::string all = head + (name.empty() ? "" : name + "=" + v);
+        if (!loom::load_from(all, &l)) return false;
+        for (auto seed = from; seed <= to; ++seed) {
+            const auto costs = loom::capacity(l, seed);
+            for (const auto& c : costs) {
+                std::cout << all << " seed=" << seed << " " << c.first << "=" << c.second << "\n";
+                points[c.first].emplace(std::atof(v.c_str()), c.second);
+            }
+            std::cout.flush();
+        }
+    }
+    for (const auto& p : points) {
+        if (name.empty() || values.size() < 3) break;
+        const auto f = loom::fit(p.second);
+        std::cout << "fit " << name << " " << p.first << " a=" << f.a << " b=" << f.b << " b_error=" << f.b_error
+                  << " residual=" << f.residual << " power=" << f.power << " power_error=" << f.power_error
+                  << " points=" << f.n << "\n";
+    }
+    return true;
+}
+
 struct Sum {
     double worst = 0, retry = 0, worst_ref = 0, worst_cut = 0;  // of one run
     std::uint64_t worst_seed = 0, frames = 0, sessions = 0, probes = 0, offered = 0, refused = 0, cut = 0,
@@ -206,6 +253,11 @@
     const auto from = std::strtoull(FLAGS_seeds.c_str(), nullptr, 10);
     const auto to =
         dash == std::string::npos ? from : std::strtoull(FLAGS_seeds.c_str() + dash + 1, nullptr, 10);
+    if (!FLAGS_capacity.empty()) {
+        if (capacities(FLAGS_capacity, from, to)) return 0;
+        std::cerr << "loom: --capacity takes name=value,…: see --help\n";
+        return 2;
+    }
     if (!FLAGS_figures.empty()) {
         loom::Yard y;
         span::PoolTuning pt;
