--- a/packages/loom/src/capacity.cpp
+++ b/packages/loom/src/capacity.cpp
@@ -236,7 +236,10 @@
     }
 
     void push(std::uint64_t number, int changed) {
-        const auto t = creed::sign(bundle(number, changed), secret_);
+        const std::string plain = bundle(number, changed);
+        text_ = static_cast<double>(plain.size());
+        const auto t = creed::sign(plain, secret_);
+        if (!t) return;  // too large: it shows as not acknowledged
         text_ = static_cast<double>(t.value().size());
         vault::Acts a;
         const double c = cpu_us();
--- a/packages/loom/src/main.cpp
+++ b/packages/loom/src/main.cpp
@@ -27,15 +27,17 @@
     figures, "",
     "only requests at the servers of one service: name=value,… of nodes servers load cadence_ms even slow "
     "grey cold run_s, and of the pool: peer_weight peer_ms zone sticky subset jitter extra slack");
-DEFINE_string(capacity, "",
-              "only what nodes cost: name=value,… of nodes keepers tenants routes servers services rate patterns "
-              "events run_s; one name may have several values, as nodes=15:50:100, and is fitted over them");
+DEFINE_string(
+    capacity, "",
+    "only what nodes cost: name=value,… of nodes keepers tenants routes servers services rate patterns "
+    "events run_s; one name may have several values, as nodes=15:50:100, and is fitted over them");
 DEFINE_int32(threads, 8, "runs at a time");
 
 namespace {
 
-const std::vector<std::string> kFlags = {"scenario", "deployment", "seeds", "quiet",   "break_rule",
-                                         "tune",     "counts_ms",  "much",  "figures", "capacity", "threads"};
+const std::vector<std::string> kFlags = {"scenario",   "deployment", "seeds",     "quiet",
+                                         "break_rule", "tune",       "counts_ms", "much",
+                                         "figures",    "capacity",   "threads"};
 
 std::vector<std::string> split(const std::string& s) {
     std::vector<std::string> v;
@@ -156,9 +158,9 @@
     for (const auto& p : points) {
         if (name.empty() || values.size() < 3) break;
         const auto f = loom::fit(p.second);
-        std::cout << "fit " << name << " " << p.first << " a=" << f.a << " b=" << f.b << " b_error=" << f.b_error
-                  << " residual=" << f.residual << " power=" << f.power << " power_error=" << f.power_error
-                  << " points=" << f.n << "\n";
+        std::cout << "fit " << name << " " << p.first << " a=" << f.a << " b=" << f.b
+                  << " b_error=" << f.b_error << " residual=" << f.residual << " power=" << f.power
+                  << " power_error=" << f.power_error << " points=" << f.n << "\n";
     }
     return true;
 }
