--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -151,11 +151,12 @@
     }
     const bool slow = now - last_counts_ >= keep_, tolerant = basin_->tolerant();
     const auto deaf = silent(now);
-    if (now < next_counts_ && !much) return;
     const bool large = fleet_ > t_.large;
+    // A word to all of a large fleet fills links: however much there is to tell, it waits its turn.
+    if (now < next_counts_ && (!much || large)) return;
     // In a large fleet whom we miss is told with the next word: it changes all the time while links are full.
     if (tolerant && !much && !slow && (large || deaf == silent_)) return;
-    next_counts_ = now + t_.counts_every;
+    next_counts_ = now + (large ? keep_ / 2 : t_.counts_every);
     weft::Counts c;
     std::vector<tide::Count> every;
     if (all_next_ && slow) every = basin_->counts(now, true);
@@ -164,11 +165,13 @@
         auto& old = told_[r.rec.customer];
         const bool same = old.released == r.rec.released && old.queued == r.rec.queued;
         bool tell = !same;
+        // What peers released is theirs to tell; telling on what did not move here would never come to rest.
+        if (!r.here && !all) continue;
         if (tolerant) {
             const bool due = now - old.at >= t_.told_latest;
             tell = (!same && (due || untold(r) >= std::max(1.0, r.untold / 2) ||
                               (r.untold < 1 && old.queued != r.rec.queued))) ||
-                   (due && slow);  // once more now and then, lest one frame that was lost cost much
+                   (due && slow && (!large || now - old.at >= 5 * t_.told_latest));  // once more now and then, lest one frame that was lost cost much
         } else if (slow) {
             tell = true;  // all of it now and then: one frame that was lost costs no more than this
         }
--- a/packages/tide/include/tide/basin.hpp
+++ b/packages/tide/include/tide/basin.hpp
@@ -28,6 +28,7 @@
     weft::CountRec rec;
     double untold = 0;  // releases that partners need not hear of yet; below 0: no tolerance is given
                         // (docs/design.md 6.4)
+    bool here = true;  // something was released or came here of late: what else it tells is no news to peers
 };
 
 class Basin {
@@ -57,6 +58,7 @@
         std::uint64_t away = 0;
         bool busy = false, told_of = false;  // in the lists below
         pith::Micros touched = 0;
+        pith::Micros moved = -pith::kNever;  // last release or arrival here
     };
     using Named = std::pair<const std::string, Cell>;
     struct Shard {
@@ -64,7 +66,7 @@
         std::map<std::string, Cell> g;
         // Those that are stepped, and those whose counts are told: customers at rest cost nothing.
         std::vector<Named*> busy, recent;
-        void touch(pith::Micros now, Named* c);
+        void touch(pith::Micros now, Named* c, bool here = false);
     };
     Shard& shard(const std::string& c);
     static constexpr std::size_t kShards = 8;
--- a/packages/tide/src/basin.cpp
+++ b/packages/tide/src/basin.cpp
@@ -14,9 +14,10 @@
 constexpr Micros kRecent = 10 * pith::kSecond;  // beyond the window that Worst looks at
 }
 
-void Basin::Shard::touch(Micros now, Named* c) {
+void Basin::Shard::touch(Micros now, Named* c, bool here) {
     Cell& x = c->second;
     x.touched = now;
+    if (here) x.moved = now;
     if (!x.busy) busy.push_back(c);
     if (!x.told_of) recent.push_back(c);
     x.busy = x.told_of = true;
@@ -85,7 +86,7 @@
     if (i == s.g.end()) return Verdict{false, false, pith::kSecond};
     const Verdict v = i->second.gate.arrive(now, id, deadline);
     if (!v.queued && !v.released) ++i->second.away;
-    if (v.queued || v.released) s.touch(now, &*i);
+    if (v.queued || v.released) s.touch(now, &*i, true);
     return v;
 }
 
@@ -101,7 +102,7 @@
     std::lock_guard<std::mutex> l(s.m);
     auto i = s.g.find(customer);
     if (i == s.g.end() || !i->second.gate.draw(now)) return false;
-    s.touch(now, &*i);
+    s.touch(now, &*i, true);
     return true;
 }
 
@@ -111,7 +112,7 @@
     auto i = s.g.find(customer);
     if (i == s.g.end()) return false;
     i->second.gate.again(now, id, deadline);
-    s.touch(now, &*i);
+    s.touch(now, &*i, true);
     return true;
 }
 
@@ -161,12 +162,12 @@
 
 std::vector<Count> Basin::counts(Micros now, bool all) {
     std::vector<Count> v;
-    auto add = [this, &v](const Named& g) {
+    auto add = [this, &v, now](const Named& g) {
         const Gate& q = g.second.gate;
         if (!q.limited()) return;  // partners have no use for it
         v.push_back({{g.first, q.released(), static_cast<std::uint64_t>(q.rate() * 1000),
                       static_cast<std::uint32_t>(q.queued())},
-                     t_.over > 0 ? q.untold() : -1});
+                     t_.over > 0 ? q.untold() : -1, now - g.second.moved <= kRecent || q.queued() > 0});
     };
     for (auto& s : s_) {
         std::lock_guard<std::mutex> l(s.m);
--- a/packages/tide/test/gate.cpp
+++ b/packages/tide/test/gate.cpp
@@ -219,3 +219,18 @@
     for (Id id = 2; id < 40; ++id) more += q.arrive(0, id, 50 * kMilli).released ? 1 : 0;
     BOOST_TEST(more == 0);
 }
+
+// A customer whose requests come elsewhere only is no news from here: hearing of it does not make it one.
+BOOST_AUTO_TEST_CASE(what_peers_released_is_not_told_on) {
+    Basin b{Tuning{}};
+    Left l;
+    b.allowances(0, {{"c", Grant(100, 100)}}, &l);
+    Tally t{Tally::Times{}};
+    for (Micros now = 0; now < 3 * kSecond; now += 100 * kMilli) {
+        b.sense(now, {{"c", 3}}, t);
+        for (const auto& c : b.counts(now)) BOOST_TEST(!c.here);
+    }
+    BOOST_TEST(b.arrive(3 * kSecond, "c", 1, 4 * kSecond).released);
+    BOOST_TEST_REQUIRE(b.counts(3 * kSecond).size() == 1u);
+    BOOST_TEST(b.counts(3 * kSecond)[0].here);
+}
