--- a/packages/span/test/threads.cpp
+++ b/packages/span/test/threads.cpp
@@ -57,11 +57,15 @@
                 if (e.queued && i % 7 == 0 && basin.leave(1000 + i, e.plan.customer, id)) ++ended;
                 span::Errand x(e.plan, pool,
                                [&basin, i, c = e.plan.customer] { return basin.draw(1000 + i, c); });
-                if (x.start(1000 + i) != span::Do::open) continue;
-                span::Do d = span::Do::refuse;
-                if (x.opened(1000 + i, true, 0, &d)) {
+                // A server that began to leave meanwhile is changed for another: that one's slot is this errand's too.
+                for (span::Do d = x.start(1000 + i); d == span::Do::open;) {
+                    span::Do other = span::Do::refuse;
+                    if (!x.opened(1000 + i, true, 0, &other)) {
+                        d = other;
+                        continue;
+                    }
                     tries.sent(e.plan.customer, e.plan.try_id);
-                    x.exchanged(1000 + i, i % 50 == 0 ? span::Step::lost : span::Step::answered, 200);
+                    d = x.exchanged(1000 + i, i % 50 == 0 ? span::Step::lost : span::Step::answered, 200);
                 }
             }
         });
