span: a peer just met alone is told every customer; over full links sight is longer

Cause: each peer met made a node tell all peers every customer once more, 1040 bytes to 79 peers each second until all were met; with links full, words were lost and nodes fell to their share (429 to 14 of 100 proper requests).

--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -2,6 +2,7 @@
 // A proxy without sockets or clock: membership, feed, tally, duties together (docs/design.md 7).
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -112,6 +113,7 @@
     std::map<std::string, Told> told_;
     pith::Micros keep_ = 0, in_sight_ = 0;  // between keep-alives; a proxy heard within it is in sight
     std::size_t fleet_ = 1;
+    std::set<std::string> met_;  // peers just heard of, to be told of every customer
     bool all_next_ = true;                  // partners that are new need a baseline of every customer
     std::map<std::string, tide::Worst> worst_;
     pith::Micros next_worst_ = 0;
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -79,7 +79,8 @@
     if (!basin_->tolerant()) return;
     keep_ = std::max(keep_, static_cast<Micros>(fleet_) * t_.keep_each);
     const auto of = [this](Micros x) { return x * keep_ / t_.counts_slow; };
-    in_sight_ = of(t_.in_sight);
+    // Over full links several words in a row are lost, and that is no cut.
+    in_sight_ = of(t_.in_sight) * (fleet_ > t_.large ? 2 : 1);
     auto y = t_.tally;
     y.seldom = of(550 * pith::kMilli);
     y.silent = of(y.silent);
@@ -129,6 +130,16 @@
     basin_->world(now, whole ? proxies : roster, standing_, part);
 }
 
+namespace {
+void put(const tide::Count& r, bool tolerant, weft::Counts* c) {
+    if (tolerant)
+        weft::put_brief(&c->brief, {weft::brief_hash(r.rec.customer), static_cast<std::uint32_t>(r.rec.released),
+                                    static_cast<std::uint32_t>(r.rec.rate_milli / 100), r.rec.queued});
+    else
+        c->counts.push_back(r.rec);
+}
+}  // namespace
+
 void ProxyCore::counts(Micros now, const std::vector<tide::Count>& v, Todo* d) {
     if (now < next_soon_) return;
     next_soon_ = now + t_.counts_soon;
@@ -159,6 +170,17 @@
     next_counts_ = now + (large ? keep_ / 2 : t_.counts_every);
     weft::Counts c;
     std::vector<tide::Count> every;
+    // One that is new needs a baseline of every customer: it alone is told, not all the others once more.
+    if (slow && !met_.empty()) {
+        weft::Counts b;
+        for (const auto& r : basin_->counts(now, true)) put(r, tolerant, &b);
+        for (const auto& n : met_) {
+            b.seq = ++counts_seq_;
+            const std::string to = knell_.address(n);
+            if (!to.empty()) d->out.push_back({to, b});
+        }
+        met_.clear();
+    }
     if (all_next_ && slow) every = basin_->counts(now, true);
     const bool all = !every.empty();
     for (const auto& r : all ? every : v) {
@@ -177,11 +199,7 @@
         }
         if (!tell && !all) continue;
         old = {r.rec.released, r.rec.queued, now};
-        if (tolerant)
-            weft::put_brief(&c.brief, {weft::brief_hash(r.rec.customer), static_cast<std::uint32_t>(r.rec.released),
-                                       static_cast<std::uint32_t>(r.rec.rate_milli / 100), r.rec.queued});
-        else
-            c.counts.push_back(r.rec);
+        put(r, tolerant, &c);
     }
     if (all) all_next_ = false;
     if (tolerant)
@@ -294,7 +312,7 @@
     if (const auto* c = std::get_if<weft::Counts>(&e.msg)) {
         const bool met = tally_.knows(e.from, e.inc);
         basin_->sense(now, tally_.hear(now, e.from, e.inc, *c), tally_);
-        all_next_ = all_next_ || !met;
+        if (!met) met_.insert(e.from);
         const auto& sb = c->silent_brief;
         if (std::find(c->silent.begin(), c->silent.end(), knell_.name()) != c->silent.end() ||
             std::find(sb.begin(), sb.end(), weft::brief_hash(knell_.name())) != sb.end())
