--- a/packages/loom/src/world.cpp
+++ b/packages/loom/src/world.cpp
@@ -368,7 +368,9 @@
                 on_node(to, life, [this, e](Node& m) {
                     if (m.core) {
                         if (breaks_.deaf_feed && m.name.back() % 2 == 1 &&
-                            std::holds_alternative<weft::FeedSaid>(e.msg) && m.core->policy() != nullptr)
+                            (std::holds_alternative<weft::FeedSaid>(e.msg) ||
+                             std::holds_alternative<weft::StateSaid>(e.msg)) &&
+                            m.core->policy() != nullptr)
                             return;
                         span::Todo d;
                         m.core->hear(now_, e, &d);
