--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,13 +1,19 @@
 // One program; the role is a subcommand (docs/design.md 2.1).
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "helm/helm.hpp"
 #include "pith/flags.hpp"
 #include "pith/hash.hpp"
 #include "pith/log.hpp"
+#include "pith/settings.hpp"
 #include "span/proxy.hpp"
 
 DEFINE_string(settings, "", "settings file, JSON");
@@ -28,6 +34,9 @@
 
 namespace {
 
+constexpr int kUsageError = 2;
+constexpr std::size_t kMaxSettingsFile = 256 * 1024;  // bytes
+
 const std::vector<std::string> kFlags = {
     "settings",         "check_settings", "fleet", "name",        "locality",  "weft", "visits",
     "operator_address", "platform",       "data",  "secret_file", "log_level", "seeds"};
@@ -40,79 +49,90 @@
            "marblesaddle ROLE --help tells each role's flags; --version the version.\n";
 }
 
-int wrong(const std::string& m) {
-    std::cerr << "marblesaddle: " << m << "\n";
-    return 2;
+int usage_error(const std::string& message) {
+    std::cerr << "marblesaddle: " << message << "\n";
+    return kUsageError;
+}
+
+bool contains(const std::vector<std::string>& words, const char* word) {
+    return std::find(words.begin(), words.end(), word) != words.end();
 }
 
-bool has(const std::vector<std::string>& v, const char* w) {
-    for (const auto& a : v)
-        if (a == w) return true;
-    return false;
+// Values of the flags that stand for settings; empty where a flag was not given.
+std::map<std::string, std::string> settings_flags() {
+    std::map<std::string, std::string> values;
+    for (const auto& name : kFlags) {
+        std::string value;
+        const bool is_setting = name != "settings" && name != "check_settings";
+        if (is_setting && gflags::GetCommandLineOption(name.c_str(), &value)) values[name] = value;
+    }
+    return values;
 }
 
-int daemon(const std::string& role, const std::vector<std::string>& args) {
-    auto rest = pith::take_flags(args, kFlags);
-    if (!rest) return wrong(rest.error().message);
-    if (!rest->empty())
-        return wrong("\"" + (*rest)[0] + "\" is not a flag: see marblesaddle " + role + " --help");
+pith::Result<pith::Settings> settings_for(const std::string& role) {
     std::string text;
     if (!FLAGS_settings.empty()) {
-        auto t = pith::read_file(FLAGS_settings, 256 * 1024);
-        if (!t) return wrong(t.error().message);
-        text = *t;
-    }
-    std::map<std::string, std::string> f;
-    for (const auto& n : kFlags) {
-        std::string v;
-        if (n != "settings" && n != "check_settings" && gflags::GetCommandLineOption(n.c_str(), &v)) f[n] = v;
+        auto file = pith::read_file(FLAGS_settings, kMaxSettingsFile);
+        if (!file) return tl::unexpected<pith::Error>(file.error());
+        text = std::move(*file);
     }
-    auto s = pith::read_settings(role, text, f);
-    if (!s) return wrong(s.error().message);
+    return pith::read_settings(role, text, settings_flags());
+}
+
+int run_daemon(const std::string& role, const std::vector<std::string>& arguments) {
+    const auto words = pith::take_flags(arguments, kFlags);
+    if (!words) return usage_error(words.error().message);
+    if (!words->empty())
+        return usage_error("\"" + words->front() + "\" is not a flag: see marblesaddle " + role + " --help");
+    const auto settings = settings_for(role);
+    if (!settings) return usage_error(settings.error().message);
     if (FLAGS_check_settings) {
         std::cout << "settings are well\n";
-        return 0;
+        return EXIT_SUCCESS;
     }
-    pith::log_start(s->log_level);
+    pith::log_start(settings->log_level);
     std::signal(SIGPIPE, SIG_IGN);
-    std::signal(SIGXFSZ,
-                SIG_IGN);  // a file that may not grow is a failed write, not the end (docs/design.md 5.5)
-    return role == "proxy" ? span::run_proxy(*s) : span::run_keeper(*s);
+    // A file that may not grow is a failed write, not the end (docs/control.md, "Disk").
+    std::signal(SIGXFSZ, SIG_IGN);
+    return role == "proxy" ? span::run_proxy(*settings) : span::run_keeper(*settings);
+}
+
+int run_helm(const std::vector<std::string>& arguments) {
+    if (!contains(arguments, "--help")) return helm::run(arguments);
+    std::cout << helm::help();
+    return EXIT_SUCCESS;
+}
+
+std::string daemon_help(const std::string& role) {
+    return "usage: marblesaddle " + role + " --settings FILE [FLAGS]\n\nflags (they go over the file):\n" +
+           pith::flag_help(kFlags);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
     pith::crypto_start();
-    const std::vector<std::string> args(argv + 1, argv + argc);
-    if (args.empty()) {
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (arguments.empty()) {
         std::cerr << usage();
-        return 2;
+        return kUsageError;
     }
-    if (has(args, "--version")) {
+    if (contains(arguments, "--version")) {
         std::cout << "marblesaddle " << MS_VERSION << "\n";
-        return 0;
+        return EXIT_SUCCESS;
     }
-    const std::string role = args[0];
-    const std::vector<std::string> rest(args.begin() + 1, args.end());
+    const std::string& role = arguments.front();
+    const std::vector<std::string> rest(arguments.begin() + 1, arguments.end());
     if (role == "--help" || role == "help") {
         std::cout << usage();
-        return 0;
-    }
-    if (role == "helm") {
-        if (has(rest, "--help")) {
-            std::cout << helm::help();
-            return 0;
-        }
-        return helm::run(rest);
+        return EXIT_SUCCESS;
     }
+    if (role == "helm") return run_helm(rest);
     if (role != "proxy" && role != "keeper")
-        return wrong("no role \"" + role + "\": it is proxy, keeper or helm");
-    if (has(rest, "--help")) {
-        std::cout << "usage: marblesaddle " << role
-                  << " --settings FILE [FLAGS]\n\nflags (they go over the file):\n"
-                  << pith::flag_help(kFlags);
-        return 0;
+        return usage_error("no role \"" + role + "\": it is proxy, keeper or helm");
+    if (contains(rest, "--help")) {
+        std::cout << daemon_help(role);
+        return EXIT_SUCCESS;
     }
-    return daemon(role, rest);
+    return run_daemon(role, rest);
 }
--- a/packages/helm/include/helm/helm.hpp
+++ b/packages/helm/include/helm/helm.hpp
@@ -6,9 +6,10 @@
 
 namespace helm {
 
-// Exit codes; documented in docs/operators.md.
-enum Exit { kWell = 0, kRefused = 1, kUsage = 2, kPartial = 3, kUnreachable = 4, kUnknown = 5 };
+// Documented in docs/operators.md, "Exit codes of helm".
+enum ExitCode { kSuccess = 0, kRefused = 1, kUsage = 2, kPartial = 3, kUnreachable = 4, kOutcomeUnknown = 5 };
 
+// Runs one command: its name, its arguments and flags. Gives its exit code.
 int run(const std::vector<std::string>& args);
 std::string help();
 
--- a/packages/helm/src/fleet.cpp
+++ b/packages/helm/src/fleet.cpp
@@ -1,78 +1,93 @@
 #include "helm/fleet.hpp"
 
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
+#include <map>
+
+#include "json_fields.hpp"
 
 namespace helm {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-json::object Said::body() const {
+namespace {
+
+// The members that a node's status names, but those that left.
+void add_members(const json::object& status, std::map<std::string, Node>* nodes) {
+    for (const auto& member : objects_in(status, "members")) {
+        const std::string state = string_field(member, "state");
+        if (state == "left") continue;
+        const std::string name = string_field(member, "name");
+        Node& node = (*nodes)[name];
+        if (node.address.empty())
+            node = {name, string_field(member, "role"), string_field(member, "operator_address"), state};
+    }
+}
+
+}  // namespace
+
+json::object NodeAnswer::body() const {
     if (!answer) return {};
-    boost::system::error_code ec;
-    auto v = json::parse(answer->body(), ec);
-    return ec || !v.is_object() ? json::object{} : v.get_object();
+    boost::system::error_code error;
+    auto value = json::parse(answer->body(), error);
+    return error || !value.is_object() ? json::object{} : value.get_object();
+}
+
+std::string NodeAnswer::failure() const {
+    return answer ? "status " + std::to_string(answer->result_int()) : answer.error().message;
 }
 
 Fleet::Fleet(std::vector<std::string> addresses, std::string token, pith::Micros patience)
-    : a_(std::move(addresses)), token_(std::move(token)), until_(pith::mono_now() + patience) {}
+    : addresses_(std::move(addresses)), token_(std::move(token)), deadline_(pith::mono_now() + patience) {}
 
-pith::Micros Fleet::left() const { return std::max<pith::Micros>(pith::kMilli, until_ - pith::mono_now()); }
+pith::Micros Fleet::time_left() const {
+    return std::max<pith::Micros>(pith::kMilli, deadline_ - pith::mono_now());
+}
 
-std::vector<Said> Fleet::ask(const std::vector<Node>& n, const std::string& method, const std::string& target,
-                             const std::string& body) {
-    std::vector<Said> v(n.size());
+std::vector<NodeAnswer> Fleet::ask(const std::vector<Node>& nodes, const std::string& method,
+                                   const std::string& target, const std::string& body) {
+    std::vector<NodeAnswer> answers(nodes.size());
     asio::io_context io;
-    for (std::size_t i = 0; i < n.size(); ++i) {
-        v[i].node = n[i];
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        answers[i].node = nodes[i];
         asio::spawn(
             io,
-            [&, i](asio::yield_context y) {
-                weft::Ask q;
-                q.method_string(method);
-                q.target(target);
-                if (!token_.empty()) q.set("Marble-Operator", token_);
-                q.body() = body;
-                v[i].answer = weft::call(io, n[i].address, std::move(q), left(), y);
+            [&, i](asio::yield_context yield) {
+                weft::Ask request;
+                request.method_string(method);
+                request.target(target);
+                if (!token_.empty()) request.set("Marble-Operator", token_);
+                request.body() = body;
+                answers[i].answer = weft::call(io, nodes[i].address, std::move(request), time_left(), yield);
             },
             asio::detached);
     }
     io.run();
-    return v;
+    return answers;
 }
 
 pith::Result<std::vector<Node>> Fleet::nodes() {
-    std::vector<Node> first;
-    for (const auto& a : a_) first.push_back({a, "", a, ""});
-    std::map<std::string, Node> all;
+    std::vector<Node> given;
+    for (const auto& address : addresses_) given.push_back({address, "", address, ""});
+    std::map<std::string, Node> found;
     std::string why = "no address given";
-    for (const auto& s : ask(first, "GET", "/v1/status")) {
-        if (!s.well()) {
-            why = s.answer ? "status " + std::to_string(s.answer->result_int()) : s.answer.error().message;
+    for (const auto& answer : ask(given, "GET", "/v1/status")) {
+        if (!answer.ok()) {
+            why = answer.failure();
             continue;
         }
-        const auto o = s.body();
-        auto word = [](const json::object& x, const char* k) {
-            const auto* e = x.if_contains(k);
-            return e != nullptr && e->is_string() ? std::string(e->get_string().c_str()) : std::string();
-        };
-        all[word(o, "name")] = {word(o, "name"), word(o, "role"), s.node.address, "live"};
-        const auto* m = o.if_contains("members");
-        if (m == nullptr || !m->is_array()) continue;
-        for (const auto& e : m->get_array()) {
-            const auto* x = e.if_object();
-            if (x == nullptr || word(*x, "state") == "left") continue;
-            auto& to = all[word(*x, "name")];
-            if (to.address.empty())
-                to = {word(*x, "name"), word(*x, "role"), word(*x, "operator_address"), word(*x, "state")};
-        }
+        const auto status = answer.body();
+        const std::string name = string_field(status, "name");
+        found[name] = {name, string_field(status, "role"), answer.node.address, "live"};
+        add_members(status, &found);
     }
-    if (all.empty())
+    if (found.empty())
         return pith::fail(pith::Kind::unreachable, "no node answers (" + why + "): check --nodes");
-    std::vector<Node> v;
-    for (auto& p : all) v.push_back(p.second);
-    return v;
+    std::vector<Node> nodes;
+    for (auto& entry : found) nodes.push_back(std::move(entry.second));
+    return nodes;
 }
 
 }  // namespace helm
--- a/packages/knell/src/knell.cpp
+++ b/packages/knell/src/knell.cpp
@@ -164,7 +164,17 @@
         return false;
     }
     m.heard = now;
-    if (m.rec.state == kDown && e.inc == m.rec.inc) {
+    const bool is_news = std::holds_alternative<weft::News>(e.msg);
+    if (m.rec.state > kDraining && is_news) {
+        // It told us something of ourselves that we outdid; spread() does not reach those that are down here.
+        for (const auto& r : news)
+            if (r.name == c_.name) {
+                weft::News n;
+                n.members.push_back(r);
+                out->push_back({to, n});
+            }
+    }
+    if (m.rec.state == kDown && e.inc == m.rec.inc && !is_news) {
         // It speaks: called down wrongly, or cut off and back. It must outdo the verdict itself.
         weft::News n;
         n.members.push_back(m.rec);
--- a/packages/loom/include/loom/checks.hpp
+++ b/packages/loom/include/loom/checks.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "pith/time.hpp"
+#include "weft/messages.hpp"
 
 namespace loom {
 
@@ -49,6 +50,8 @@
                const std::string& hash);
     void died(const std::string& node) { acts.erase(node); }
     void acked(Micros t, std::uint64_t number, const std::string& hash);
+    // A control node knows this state as decided: one of a revision, and never back in one life.
+    void decided(Micros t, const std::string& node, std::uint64_t life, const weft::ControlState& state);
     // A keeper's disk holds these as the founded electorate.
     void elected(Micros t, const std::string& keeper, const std::set<std::string>& members);
     const std::set<std::string>& electorate() const { return electorate_; }
@@ -66,8 +69,8 @@
         std::uint64_t offered = 0, handed = 0, well = 0, failed = 0, proper_refused = 0, cut_refused = 0,
                       over_by_chance = 0, unknown = 0, unserved = 0;
         double least_room = 1e9;  // visits that the worst 5 s had left of the bound
-        double worst5 = 0;   // released in the worst 5 s, over what was in force then
-        double retry10 = 0;  // retries over a fifth of the traffic, in the worst 10 s (visits)
+        double worst5 = 0;        // released in the worst 5 s, over what was in force then
+        double retry10 = 0;       // retries over a fifth of the traffic, in the worst 10 s (visits)
         std::string worst5_of;
         Micros p50 = 0, p99 = 0, wait99 = 0;
         std::uint64_t ref_refused = 0, ref_late = 0;  // by the perfect gate
@@ -80,8 +83,8 @@
     std::map<std::string, std::uint64_t> acts;  // node -> number acted on in this life
     std::map<std::string, double> worst_by;
     std::uint64_t late_refused = 0, late_offered = 0;  // proper ones, after quiet_from
-    double window_slack = 1;  // for the rounding of the window's end, or what operators allow
-    Micros quiet_from = pith::kNever;                  // after it proper visits must be served
+    double window_slack = 1;           // for the rounding of the window's end, or what operators allow
+    Micros quiet_from = pith::kNever;  // after it proper visits must be served
 
   private:
     struct Span {  // while a word is in force
@@ -95,6 +98,8 @@
     void retry_windows();
 
     std::map<std::string, Word> words_;
+    std::map<std::uint64_t, std::string> state_of_;                               // by revision
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> revision_of_;  // node -> life, revision
     std::set<std::string> electorate_;                             // the first that was ever founded
     std::map<std::string, Micros> first_acted_;                    // hash -> when
     std::map<std::uint64_t, Micros> acked_at_;                     // number -> when
--- a/packages/loom/src/capacity.cpp
+++ b/packages/loom/src/capacity.cpp
@@ -10,9 +10,9 @@
 #include <memory>
 #include <vector>
 
+#include "consensus/control_node.hpp"
 #include "pith/hash.hpp"
 #include "span/core.hpp"
-#include "vault/keeper.hpp"
 
 namespace loom {
 
@@ -23,7 +23,8 @@
 namespace {
 constexpr Micros kStep = 5 * kMilli, kKeeperTick = 50 * kMilli, kWork = 60 * kMilli;
 constexpr Micros kBusyBefore =
-    1200 * kMilli;  // of traffic, before costs are counted: each tenant was told once
+    1200 * kMilli;                         // of traffic, before costs are counted: each tenant was told once
+constexpr Micros kFounding = 5 * kSecond;  // control nodes that start found their membership meanwhile
 constexpr int kZones = 9;
 constexpr double kBytesPerKb = 1024;
 const char* const kFleet = "fleet";
@@ -53,8 +54,8 @@
     std::unique_ptr<tide::Basin> basin;
     std::unique_ptr<span::Pool> pool;
     std::unique_ptr<span::ProxyCore> core;
-    std::unique_ptr<vault::KeeperCore> keeper;
-    vault::Held disk;
+    std::unique_ptr<consensus::ControlNode> keeper;
+    consensus::DurableState disk;
     std::deque<std::pair<Micros, span::Slot>> flight;
     tide::Id visits = 0;
     std::map<tide::Id, int> waiting;  // visit -> service
@@ -90,7 +91,14 @@
   public:
     Hollow(const Load& l, std::uint64_t seed) : l_(l), rng_(seed * 7919 + 17) {
         pith::crypto_start();
-        creed::keygen(&public_, &secret_);
+        // One pair a process: the size of what is told compressed depends on the signature.
+        static const std::pair<std::string, std::string> keys = [] {
+            std::pair<std::string, std::string> pair;
+            creed::keygen(&pair.first, &pair.second);
+            return pair;
+        }();
+        public_ = keys.first;
+        secret_ = keys.second;
         double sum = 0;
         for (int i = 0; i < l_.tenants; ++i) {
             sum += 1.0 / (i + 1);
@@ -112,7 +120,7 @@
 
     Costs run() {
         Costs c;
-        go(kSecond);  // keepers that start take up their votes
+        go(kFounding);
         push(1, 0);
         busy_from_ = now_ + l_.warm - kBusyBefore;
         go(l_.warm);
@@ -154,26 +162,34 @@
         k.role = n.proxy ? "proxy" : "keeper";
         k.operator_address = k.address;
         k.inc = n.inc;
-        std::vector<std::pair<std::string, std::string>> keepers;
-        for (int j = 0; j < l_.keepers; ++j) {
-            keepers.emplace_back(padded("keeper-", j), address(j));
-            k.seeds.push_back(address(j));
-        }
+        for (int j = 0; j < l_.keepers; ++j) k.seeds.push_back(address(j));
         n.next = now_ + static_cast<Micros>(rng_.below(100000));
         if (!n.proxy) {
-            vault::VaultConfig v;
-            v.name = n.name;
-            v.keepers = keepers;
-            v.signers = {public_};
-            n.keeper = std::make_unique<vault::KeeperCore>(k, v, n.disk, static_cast<std::uint64_t>(i) + 1);
+            boot_control(i, k);
             return;
         }
         tide::Tuning t;
         t.over = 0.1;  // with a tolerance, as platforms give it
         n.basin = std::make_unique<tide::Basin>(t);
         n.pool = std::make_unique<span::Pool>(n.name, n.zone, span::PoolTuning{});
-        n.core =
-            std::make_unique<span::ProxyCore>(k, keepers, span::CoreTuning{}, n.basin.get(), n.pool.get());
+        n.core = std::make_unique<span::ProxyCore>(k, span::CoreTuning{}, n.basin.get(), n.pool.get());
+    }
+
+    void boot_control(int i, const knell::Config& config) {
+        Node& n = *n_[static_cast<std::size_t>(i)];
+        consensus::ControlConfig control;
+        control.name = n.name;
+        control.address = config.address;
+        control.signers = {public_};
+        control.life = static_cast<std::uint64_t>(i) + 1;
+        consensus::FoundingConfig founding;
+        founding.name = n.name;
+        founding.address = config.address;
+        founding.seeds = config.seeds;
+        founding.first_start = true;
+        for (int j = 0; j < l_.keepers; ++j) founding.listed[padded("keeper-", j)] = address(j);
+        n.disk.disk = n.name + "-disk";
+        n.keeper = std::make_unique<consensus::ControlNode>(config, control, founding, n.disk, epochs_);
     }
 
     // All know all from the start: a fleet does not begin whole, and its first gossip is no steady cost.
@@ -188,7 +204,7 @@
         }
         for (auto& n : n_) {
             span::Todo d;
-            vault::Acts a;
+            consensus::Actions a;
             const weft::Envelope e{n_[0]->name, 1, 0, w};
             if (n->proxy)
                 n->core->hear(now_, e, &d);
@@ -241,9 +257,9 @@
         const auto t = creed::sign(plain, secret_);
         if (!t) return;  // too large: it shows as not acknowledged
         text_ = static_cast<double>(t.value().size());
-        vault::Acts a;
+        consensus::Actions a;
         const double c = cpu_us();
-        n_[0]->keeper->push(now_, number, t.value(), &a);
+        n_[0]->keeper->order(now_, number, t.value(), &a);
         cpu_[0] += cpu_us() - c;
         carry(0, a);
     }
@@ -265,13 +281,13 @@
         }
     }
 
-    void carry(int i, vault::Acts& a) {
+    void carry(int i, consensus::Actions& a) {
         send(i, a.out);
-        for (const auto& j : a.jobs) {  // a disk that writes at once
+        for (const auto& j : a.saves) {  // a disk that writes at once
             Node& n = *n_[static_cast<std::size_t>(i)];
-            vault::apply(j, &n.disk);
-            vault::Acts b;
-            n.keeper->wrote(now_, j.token, true, &b);
+            n.disk = j.state;
+            consensus::Actions b;
+            n.keeper->saved(now_, j.token, true, &b);
             carry(i, b);
         }
         for (const auto& r : a.answers) answered_ += r.result ? 1 : 0;
@@ -360,7 +376,7 @@
                     n.next = now_ + n.core->nap();
                     carry(static_cast<int>(i), t);
                 } else {
-                    vault::Acts a;
+                    consensus::Actions a;
                     n.keeper->tick(now_, &a);
                     cpu_[0] += cpu_us() - c;
                     n.next = now_ + kKeeperTick;
@@ -387,7 +403,7 @@
             cpu_[1] += cpu_us() - c;
             carry(f.to, d);
         } else {
-            vault::Acts a;
+            consensus::Actions a;
             n.keeper->hear(now_, e, &a);
             cpu_[0] += cpu_us() - c;
             carry(f.to, a);
@@ -462,7 +478,7 @@
             n.keeper.reset();
             n.pool.reset();
             n.basin.reset();
-            n.disk = vault::Held{};
+            n.disk = consensus::DurableState{};
             (*c)[r == 1 ? "proxy.memory_kb" : "keeper.memory_kb"] = (was - heap()) / kBytesPerKb;
             n.up = false;
         }
@@ -472,7 +488,7 @@
         go(d);
         for (int r = 0; r < 2; ++r) {
             const std::string w = what + (r == 1 ? ".proxy" : ".keeper");
-            for (const char* m : {"News", "FeedSaid", "StateSaid", "Listing"})
+            for (const char* m : {"News", "FeedSaid", "StateSaid", "ContentSaid", "AcceptAsk", "Listing"})
                 if (const Said x = all(r, m); x.bytes > 0) {
                     (*c)[w + "_" + m + "_frames"] = x.frames / many(r);
                     (*c)[w + "_" + m + "_bytes"] = x.bytes / many(r);
@@ -489,6 +505,9 @@
         event(c, "still", 2 * kSecond);
         push(2, l_.tenants - 1);
         event(c, "config", 2 * kSecond);
+        double acting = 0;
+        for (const auto& n : n_) acting += n->up && n->proxy && n->core->policy()->number() == 2 ? 1 : 0;
+        (*c)["config.acting_share"] = acting / many(1);
         servers_[0] = server(0, 2);
         event(c, "listing", 2 * kSecond);
         // One proxy dies and comes back 3 s later; then a zone.
@@ -513,6 +532,7 @@
     std::vector<double> zipf_;
     std::vector<std::unique_ptr<Node>> n_;
     std::map<std::string, int> at_;
+    std::map<std::string, std::pair<std::uint64_t, std::string>> epochs_;  // none was written down
     std::vector<weft::ServerRec> servers_;
     std::vector<Frame> next_;
     std::map<std::string, Said> said_[2];  // by role: keeper, proxy; by message
--- a/packages/loom/src/checks.cpp
+++ b/packages/loom/src/checks.cpp
@@ -106,6 +106,30 @@
     acked_at_.emplace(number, t);
 }
 
+namespace {
+std::string state_text(const weft::ControlState& state) {
+    std::string text = std::to_string(state.number) + " " + state.hash.substr(0, 8) + " epoch " +
+                       std::to_string(state.epoch) + " voters";
+    for (const auto& voter : state.voters) text += " " + voter.name + "/" + voter.disk;
+    if (!state.joining.empty()) text += " joining";
+    for (const auto& voter : state.joining) text += " " + voter.name + "/" + voter.disk;
+    return text;
+}
+}  // namespace
+
+void Checks::decided(Micros t, const std::string& node, std::uint64_t life, const weft::ControlState& state) {
+    const std::string text = state_text(state);
+    const auto known = state_of_.emplace(state.revision, text);
+    if (known.first->second != text)
+        fail("two_states", "revision " + std::to_string(state.revision) + " is " + text + " at " + node +
+                               " by " + std::to_string(t / 1000) + " ms, and was " + known.first->second);
+    auto& last = revision_of_[node];
+    if (last.first == life && state.revision < last.second)
+        fail("slipped_back", node + " went from revision " + std::to_string(last.second) + " to " +
+                                 std::to_string(state.revision) + " at " + std::to_string(t / 1000) + " ms");
+    last = {life, state.revision};
+}
+
 void Checks::elected(Micros t, const std::string& keeper, const std::set<std::string>& members) {
     auto text = [](const std::set<std::string>& v) {
         std::string s;
--- a/packages/loom/src/main.cpp
+++ b/packages/loom/src/main.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "loom/capacity.hpp"
+#include "loom/control_scenario.hpp"
 #include "loom/figures.hpp"
 #include "loom/scenario.hpp"
 #include "pith/flags.hpp"
@@ -18,7 +19,10 @@
 DEFINE_string(
     break_rule, "",
     "break a rule on purpose: writes, disk, partners, back, leaving, lie, retries, stale, address, well, "
-    "swap, silent, deaf, hasty");
+    "swap, silent, deaf, hasty, founding, disk_for_life, deaf_control, never_replace, hasty_leave, "
+    "skip_prepare, "
+    "ignore_accepted, local_read, no_joint, ignore_disk_identity, numbers_only");
+DEFINE_string(control, "", "only the control side's worst days: one of them, several by commas, or all");
 DEFINE_string(tune, "", "name=value,… of the network: k4 k1 k3 k5 kf k6 head over least_pool wait_ms");
 DEFINE_int32(counts_ms, 100, "how often partners tell their counts");
 DEFINE_double(much, span::CoreTuning{}.much,
@@ -35,9 +39,9 @@
 
 namespace {
 
-const std::vector<std::string> kFlags = {"scenario",   "deployment", "seeds",     "quiet",
-                                         "break_rule", "tune",       "counts_ms", "much",
-                                         "figures",    "capacity",   "threads"};
+const std::vector<std::string> kFlags = {"scenario",   "deployment", "seeds",    "quiet",
+                                         "break_rule", "control",    "tune",     "counts_ms",
+                                         "much",       "figures",    "capacity", "threads"};
 
 std::vector<std::string> split(const std::string& s) {
     std::vector<std::string> v;
@@ -165,6 +169,30 @@
     return true;
 }
 
+// The control side's scenarios: one line a run.
+int control_days(const std::string& which, std::uint64_t from, std::uint64_t to, const loom::Breaks& breaks) {
+    const auto names = which == "all" ? loom::control_scenarios() : split(which);
+    std::vector<std::pair<std::string, std::uint64_t>> jobs;
+    for (const auto& name : names)
+        for (auto seed = from; seed <= to; ++seed) jobs.emplace_back(name, seed);
+    std::vector<loom::ControlResult> results(jobs.size());
+    std::atomic<std::size_t> next{0};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < std::max(1, std::min(FLAGS_threads, 64)); ++i)
+        threads.emplace_back([&] {
+            for (std::size_t k = next++; k < jobs.size(); k = next++)
+                results[k] = loom::run_control(jobs[k].first, jobs[k].second, breaks);
+        });
+    for (auto& thread : threads) thread.join();
+    std::size_t broken = 0;
+    for (const auto& result : results) {
+        if (!FLAGS_quiet || !result.faults.empty()) std::cout << result.line() << "\n";
+        broken += result.faults.empty() ? 0 : 1;
+    }
+    std::cout << results.size() << " runs, " << broken << " broken\n";
+    return broken == 0 ? 0 : 1;
+}
+
 struct Sum {
     double worst = 0, retry = 0, worst_ref = 0, worst_cut = 0;  // of one run
     std::uint64_t worst_seed = 0, frames = 0, sessions = 0, probes = 0, offered = 0, refused = 0, cut = 0,
@@ -222,6 +250,8 @@
     if (!args.empty() && args[0] == "--help") {
         std::cout << "usage: loom [FLAGS]\n\n" << pith::flag_help(kFlags) << "\nscenarios:";
         for (const auto& s : loom::scenarios()) std::cout << " " << s;
+        std::cout << "\ncontrol scenarios:";
+        for (const auto& s : loom::control_scenarios()) std::cout << " " << s;
         std::cout << "\n";
         return 0;
     }
@@ -248,13 +278,25 @@
                                                 {"swap", &b.swap_answers},
                                                 {"silent", &b.stay_silent},
                                                 {"deaf", &b.deaf_feed},
-                                                {"hasty", &b.hasty_stop}};
+                                                {"hasty", &b.hasty_stop},
+                                                {"founding", &b.forget_founding},
+                                                {"disk_for_life", &b.disk_failed_for_life},
+                                                {"deaf_control", &b.deaf_control},
+                                                {"never_replace", &b.never_replace},
+                                                {"hasty_leave", &b.hasty_leave},
+                                                {"skip_prepare", &b.control.skip_prepare},
+                                                {"ignore_accepted", &b.control.ignore_accepted},
+                                                {"local_read", &b.control.local_read},
+                                                {"no_joint", &b.control.no_joint},
+                                                {"ignore_disk_identity", &b.control.ignore_disk_identity},
+                                                {"numbers_only", &b.control.numbers_only}};
     for (const auto& e : br)
         if (FLAGS_break_rule == e.first) *e.second = true;
     const auto dash = FLAGS_seeds.find('-');
     const auto from = std::strtoull(FLAGS_seeds.c_str(), nullptr, 10);
     const auto to =
         dash == std::string::npos ? from : std::strtoull(FLAGS_seeds.c_str() + dash + 1, nullptr, 10);
+    if (!FLAGS_control.empty()) return control_days(FLAGS_control, from, to, b);
     if (!FLAGS_capacity.empty()) {
         if (capacities(FLAGS_capacity, from, to)) return 0;
         std::cerr << "loom: --capacity takes name=value,…: see --help\n";
--- a/packages/loom/src/scenario.cpp
+++ b/packages/loom/src/scenario.cpp
@@ -552,6 +552,7 @@
     });
     w.checks.quiet_from = kQuiet + kBack;
     w.run_until(kEnd);
+    w.judge_history();
     Bound bound;
     for (const auto* e : play) {
         bound.seen += e->bound.seen;
--- a/packages/mime/include/mime/fleet.hpp
+++ b/packages/mime/include/mime/fleet.hpp
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <condition_variable>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -37,12 +38,18 @@
     pith::Result<bool> prepare();  // folder, secret, keys, settings
     void start_all();
     void start(const std::string& name);
+    // One more keeper, in its own settings only, as an operator adds one to a fleet that runs. Not started
+    // yet.
+    void add_keeper(const std::string& name, const std::string& locality);
     void fill_disk(const std::string& name);  // its files can't grow any more, as on a full disk
+    void free_disk(const std::string& name);  // there is room again
     void move(const std::string& name);       // other addresses from its next start on
     void kill(const std::string& name, int signal);
     int wait_end(const std::string& name);  // exit code, or 128 + signal
     // Blocks until the process logs a line that holds all the words; false where it ends or `limit_s` passed.
     bool wait_line(const std::string& name, const std::vector<std::string>& words, int limit_s = 60);
+    // The same for several lines, in any order.
+    bool wait_lines(const std::string& name, std::vector<std::vector<std::string>> lines, int limit_s = 60);
     void forget_lines(const std::string& name);
 
     std::string weft(const std::string& name) const { return at_.at(name).weft; }
@@ -52,6 +59,8 @@
     std::vector<std::string> names(const std::string& role) const;
     const std::string& signing_key() const { return secret_key_; }
     std::string folder() const { return p_.folder; }
+    std::string settings_file(const std::string& name) const { return p_.folder + "/" + name + ".json"; }
+    std::string data_folder(const std::string& name) const { return p_.folder + "/" + name + ".data"; }
     void list_servers(const std::vector<std::string>& names);          // tells the platform
     std::string run(const std::vector<std::string>& argv, int* code);  // the program, to its end
     std::string sample_bundle(int number, double scale = 1.0) const;
@@ -68,6 +77,7 @@
         std::string part;
         std::deque<std::string> lines;
     };
+    void limit_file_size(const std::string& name, std::uint64_t bytes);
     pid_t spawn(const std::vector<std::string>& argv, int* err_fd);
     std::string free_address();
     std::set<std::string> used_;
--- a/packages/mime/src/fleet.cpp
+++ b/packages/mime/src/fleet.cpp
@@ -111,7 +111,7 @@
         }
     for (const auto& a : at_)
         if (a.second.role == "keeper" || a.second.role == "proxy")
-            put(p_.folder + "/" + a.first + ".json", settings(a.first));
+            put(settings_file(a.first), settings(a.first));
     if (::pipe2(wake_, O_CLOEXEC) != 0)
         return pith::fail(pith::Kind::settings_wrong, "can't make a pipe: raise the limit of open files");
     reader_ = std::thread([this] { read_loop(); });
@@ -130,7 +130,7 @@
         o["visits"] = a.visits;
         o["platform"] = platform_;
     } else {
-        o["data"] = p_.folder + "/" + name + ".data";
+        o["data"] = data_folder(name);
         o["signers"] = json::array{public_key_};
     }
     json::array seeds, keepers;
@@ -177,7 +177,7 @@
              "--instance=" + a.instance,
              "--work_ms=" + std::to_string(p_.work_ms)};
     else
-        v = {p_.program, a.role, "--settings=" + p_.folder + "/" + name + ".json"};
+        v = {p_.program, a.role, "--settings=" + settings_file(name)};
     int fd = -1;
     const pid_t pid = spawn(v, &fd);
     Lock l(m_);
@@ -200,17 +200,30 @@
         if (a.second.role == "keeper" || a.second.role == "proxy") start(a.first);
 }
 
-void Fleet::fill_disk(const std::string& name) {
+void Fleet::add_keeper(const std::string& name, const std::string& locality) {
+    at_[name] = {"keeper", locality, free_address(), "", free_address(), "", ""};
+    put(settings_file(name), settings(name));
+}
+
+// The hard limit stays as it was, so that the soft one may be raised again.
+void Fleet::limit_file_size(const std::string& name, std::uint64_t bytes) {
     Lock l(m_);
-    const rlimit none{0, 0};
-    if (child_[name].pid > 0) ::prlimit(child_[name].pid, RLIMIT_FSIZE, &none, nullptr);
+    const pid_t pid = child_[name].pid;
+    rlimit limit{};
+    if (pid <= 0 || ::prlimit(pid, RLIMIT_FSIZE, nullptr, &limit) != 0) return;
+    limit.rlim_cur = std::min<rlim_t>(bytes, limit.rlim_max);
+    ::prlimit(pid, RLIMIT_FSIZE, &limit, nullptr);
 }
 
+void Fleet::fill_disk(const std::string& name) { limit_file_size(name, 0); }
+
+void Fleet::free_disk(const std::string& name) { limit_file_size(name, RLIM_INFINITY); }
+
 void Fleet::move(const std::string& name) {
     At& a = at_.at(name);
     a.weft = free_address();
     a.desk = free_address();
-    put(p_.folder + "/" + name + ".json", settings(name));
+    put(settings_file(name), settings(name));
 }
 
 void Fleet::kill(const std::string& name, int signal) {
@@ -277,16 +290,25 @@
 }
 
 bool Fleet::wait_line(const std::string& name, const std::vector<std::string>& words, int limit_s) {
-    Lock l(m_);
+    return wait_lines(name, {words}, limit_s);
+}
+
+bool Fleet::wait_lines(const std::string& name, std::vector<std::vector<std::string>> lines, int limit_s) {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(limit_s);
+    const auto holds = [](const std::string& line, const std::vector<std::string>& words) {
+        return std::all_of(words.begin(), words.end(),
+                           [&line](const std::string& word) { return line.find(word) != std::string::npos; });
+    };
+    Lock l(m_);
     for (;;) {
         Child& c = child_[name];
         while (!c.lines.empty()) {
             const std::string line = c.lines.front();
             c.lines.pop_front();
-            if (std::all_of(words.begin(), words.end(),
-                            [&line](const std::string& w) { return line.find(w) != std::string::npos; }))
-                return true;
+            const auto met = std::remove_if(lines.begin(), lines.end(),
+                                            [&](const auto& words) { return holds(line, words); });
+            lines.erase(met, lines.end());
+            if (lines.empty()) return true;
         }
         if (c.fd < 0) return false;
         if (c_.wait_until(l, end) == std::cv_status::timeout) return false;
--- a/packages/mime/src/server.cpp
+++ b/packages/mime/src/server.cpp
@@ -65,6 +65,13 @@
         }
     }
 
+    // Closes with a reset in place of an orderly end.
+    static void reset(tcp::socket& s) {
+        boost::system::error_code ec;
+        s.set_option(asio::socket_base::linger(true, 0), ec);
+        s.close(ec);
+    }
+
     std::string control(const std::string& body) {
         boost::system::error_code ec;
         const auto v = json::parse(body, ec);
@@ -114,7 +121,19 @@
                 w.async_wait(y[ec]);
                 leave();
                 if (mode == "crash_before") return;
+                if (mode == "reset_before") {
+                    reset(st.socket());
+                    return;
+                }
                 ++ledger[tr];
+                if (mode == "reset") {
+                    reset(st.socket());
+                    return;
+                }
+                if (mode == "interim") {
+                    const std::string g = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
+                    asio::async_write(st.socket(), asio::buffer(g), y[ec]);
+                }
                 if (mode == "lose") return;  // did the work, says nothing
                 if (mode == "hang") {
                     asio::steady_timer h(io, std::chrono::seconds(30));
@@ -147,9 +166,10 @@
             }
             a.keep_alive(q.keep_alive());
             a.content_length(a.body().size());
-            if (q.method() == http::verb::head) a.body().clear();
+            const bool head_only = q.method() == http::verb::head && mode != "body_to_head";
+            if (head_only) a.body().clear();
             http::response_serializer<http::string_body> sr(a);
-            if (q.method() == http::verb::head) {
+            if (head_only) {
                 sr.split(true);
                 http::async_write_header(st, sr, y[ec]);
             } else {
--- a/packages/mime/test/exchanges.cpp
+++ b/packages/mime/test/exchanges.cpp
@@ -182,6 +182,29 @@
     s.mode("bids", "error");
     s.exchange("a server's own error comes through",
                get("/bids", kClose + "Content-Length: 5\r\n", "t28", "POST") + "offer");
+    s.mode("bids", "reset");
+    s.exchange("a write whose session is reset after it was done",
+               get("/bids", kClose + "Content-Length: 5\r\n", "t30", "POST") + "offer");
+    s.exchange("its try again", get("/bids", kClose + "Content-Length: 5\r\n", "t30", "POST") + "offer");
+    s.mode("bids", "reset_before");
+    s.exchange("a write whose session is reset before it was done",
+               get("/bids", kClose + "Content-Length: 5\r\n", "t31", "POST") + "offer");
+    s.mode("bids", "cut");
+    s.exchange("a write whose answer is cut",
+               get("/bids", kClose + "Content-Length: 5\r\n", "t32", "POST") + "offer");
+    s.mode("bids", "interim");
+    s.exchange("an interim answer is passed over",
+               get("/bids", kClose + "Content-Length: 5\r\n", "t33", "POST") + "offer");
+    s.mode("bids", "well");
+    s.exchange("what follows a chunked body names nothing",
+               get("/bids", kClose + "Transfer-Encoding: chunked\r\n", "t34", "POST") +
+                   "2\r\nab\r\n0\r\nHost: other\r\nMarble-Try: t35\r\nMarble-Customer: small\r\n\r\n");
+    s.mode("notices", "body_to_head");
+    s.exchange("a body where only the head was asked for",
+               get("/notices/1", "", "t38", "HEAD") + get("/notices/2", kClose, "t39"));
+    s.mode("notices", "reset");
+    s.exchange("a read whose session is reset, at the only server and there again",
+               get("/notices/1", kClose, "t40"));
     s.hall.stopping = true;
     s.exchange("a machine that is stopping", get("/notices/7", kClose, "t29"));
     const std::string file = std::string(MS_TEST_DIR) + "/approved/exchanges.txt";
--- a/packages/pith/include/pith/error.hpp
+++ b/packages/pith/include/pith/error.hpp
@@ -22,6 +22,7 @@
     X(no_server, "no_server", 503, true)              \
     X(stopping, "stopping", 503, true)                \
     X(not_ready, "not_ready", 503, true)              \
+    X(behind, "behind", 503, true)                    \
     X(crowded, "crowded", 503, true)                  \
     X(late, "late", 504, true)                        \
     X(answer_lost, "answer_lost", 502, true)          \
--- a/packages/pith/src/hash.cpp
+++ b/packages/pith/src/hash.cpp
@@ -27,6 +27,12 @@
     return v;
 }
 
+std::uint64_t random64() {
+    std::uint64_t v = 0;
+    randombytes_buf(&v, sizeof v);
+    return v;
+}
+
 std::string to_hex(std::string_view s) {
     static const char* hex = "0123456789abcdef";
     std::string o;
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -6,28 +6,31 @@
 #include <string>
 #include <vector>
 
+#include "consensus/content.hpp"
+#include "consensus/feed.hpp"
 #include "creed/bundle.hpp"
 #include "knell/knell.hpp"
 #include "span/pool.hpp"
 #include "tide/basin.hpp"
 #include "tide/worst.hpp"
-#include "vault/electorate.hpp"
-#include "vault/feed.hpp"
 
 namespace span {
 
 struct CoreTuning {
     pith::Micros counts_every = 100 * pith::kMilli;  // where something changed
     pith::Micros counts_soon = 25 * pith::kMilli;    // where untold releases are much of the error budget
-    // Where the operators' bound has a tolerance, customers are told of by need, and each that changed so often:
+    // Where the operators' bound has a tolerance, customers are told of by need, and each that changed so
+    // often:
     pith::Micros told_latest = pith::kSecond;
     pith::Micros keep_each = 12 * pith::kMilli;  // keep-alives: a node's cost stays as the fleet grows
     std::size_t large = 24;  // proxies; above it a node tells less, and knows less of what others do
     pith::Micros load_every = 50 * pith::kMilli;
-    double much = 0.02;                              // of a second's allowance
-    pith::Micros nap = 100 * pith::kMilli;           // between ticks where nobody waits and all is told
-    pith::Micros counts_slow = 400 * pith::kMilli;   // where nothing did
-    pith::Micros pull_every = 300 * pith::kMilli;    // a bundle asked of one that acts on it
+    double much = 0.02;                             // of a second's allowance
+    pith::Micros nap = 100 * pith::kMilli;          // between ticks where nobody waits and all is told
+    pith::Micros counts_slow = 400 * pith::kMilli;  // where nothing did
+    pith::Micros pull_every = 300 * pith::kMilli;   // a bundle asked of one that acts on it
+    pith::Micros pull_wait = 1000 * pith::kMilli;   // an answer that did not come by then is lost
+    pith::Micros behind_most = 10 * pith::kSecond;  // a higher number that was heard counts so long
     pith::Micros feed_every = pith::kSecond;
     pith::Micros in_sight = 1000 * pith::kMilli;  // a proxy is, if it told counts so lately
     pith::Micros keeper_in_sight = 2500 * pith::kMilli;
@@ -52,8 +55,8 @@
 
 class ProxyCore {
   public:
-    ProxyCore(knell::Config k, std::vector<std::pair<std::string, std::string>> keepers, CoreTuning t,
-              tide::Basin* basin, Pool* pool);
+    // `k.inc` must be another one at each start: answers to a former life are known by it.
+    ProxyCore(knell::Config k, CoreTuning t, tide::Basin* basin, Pool* pool);
 
     void tick(pith::Micros now, Todo* d);
     void hear(pith::Micros now, const weft::Envelope& e, Todo* d);
@@ -63,41 +66,61 @@
     void say(knell::State s, pith::Micros now, Todo* d);
 
     // A node that sees at most a third of the fleet, or is heard by no more, is better without callers: most
-    // of the fleet may be elsewhere (docs/design.md 6.5). It also needs digests from a majority of keepers, a
-    // bundle, and some listing of servers: without one every visit would be turned away
-    // (docs/design.md 5.4, 7.2).
+    // of the fleet may be elsewhere (docs/design.md 6.5). It also needs the bundle that a control node
+    // confirmed with a majority of the voters since our start, or a higher one, and some listing of servers:
+    // without one every visit would be turned away (docs/control.md, "Serving"; docs/design.md 7.2).
     bool ready() const { return started() && !lonely_; }
-    bool started() const { return follower_.ready() && policy_ != nullptr && listing_.epoch != 0; }
+    bool started() const {
+        return follower_.ready() && policy_ != nullptr && policy_->number() >= follower_.confirmed_number() &&
+               listing_.epoch != 0;
+    }
+    // Somebody acts on, or decided, a higher bundle than we act on: what we would refuse by ours may be
+    // allowed by now. Each number counts for `behind_most` after it was first heard, so that a false one
+    // shuts nobody out for ever.
+    bool behind(pith::Micros now) const { return now < behind_until(); }
+    pith::Micros behind_until() const;
     creed::PolicyPtr policy() const { return policy_; }
     const knell::Knell& knell() const { return knell_; }
     tide::Standing standing() const { return standing_; }
     // How long until the next tick is due; shorter once a visit comes (docs/design.md 6.4).
     pith::Micros nap() const { return quiet_ ? t_.nap : t_.counts_soon; }
     pith::Micros soon() const { return t_.counts_soon; }
-    const vault::Follower& follower() const { return follower_; }
+    const consensus::Follower& follower() const { return follower_; }
     const tide::Tally& tally() const { return tally_; }
     const std::map<std::string, tide::Worst>& worst() const { return worst_; }
     std::uint64_t refused_words() const { return refused_; }
 
   private:
-    void take_bundle(pith::Micros now, std::uint64_t number, const std::string& hash, const std::string& text,
-                     Todo* d);
+    enum class Taken { yes, known, unreadable, refused };
+    Taken take_bundle(pith::Micros now, const weft::ChangeRec& told, Todo* d);
+    void act_on(pith::Micros now, creed::Bundle bundle, Todo* d);
+    void hear_feed(pith::Micros now, const weft::Envelope& e, const weft::FeedSaid& said, bool fresh,
+                   Todo* d);
+    void hear_beat(pith::Micros now, const weft::MemberRec& from, std::uint64_t number, Todo* d);
+    void pull(pith::Micros now, const weft::MemberRec& from, Todo* d);
+    void hear_pulled(pith::Micros now, const std::string& from, const weft::ChangeRec& told, Todo* d);
+    void answer_pull(const std::string& to, const weft::BundleAsk& ask, Todo* d);
+    void answer_founding(pith::Micros now, const std::string& to, std::uint64_t nonce, Todo* d) const;
+    void note_number(pith::Micros now, std::uint64_t number);
+    std::uint64_t number() const { return policy_ == nullptr ? 0 : policy_->number(); }
     void counts(pith::Micros now, const std::vector<tide::Count>& v, Todo* d);
     void cadence();  // of words, and of what follows from it
     void world(pith::Micros now);
     bool lister() const;
     void spread(const weft::Msg& m, Todo* d, bool keepers_too);
+    std::map<std::string, std::string> control_nodes() const;  // that live, by name, with their addresses
 
     knell::Knell knell_;
-    vault::Follower follower_;
-    bool discovered_;  // no keepers were listed (docs/design.md 5.7)
+    consensus::Follower follower_;
     CoreTuning t_;
     tide::Basin* basin_;
     Pool* pool_;
     tide::Tally tally_;
-    std::map<std::string, std::string> keepers_;
     creed::PolicyPtr policy_;
-    std::string hash_, text_;
+    std::string hash_;                     // of the bundle that we act on, as it is told
+    consensus::ContentStore contents_{2};  // texts of that and of the one before: bases of differences
+    // Higher numbers that were heard of, and since when (docs/control.md, "Serving").
+    std::map<std::uint64_t, pith::Micros> higher_;
     weft::Listing listing_;
     bool listing_busy_ = false;
     pith::Micros next_list_ = 0, next_probe_ = 0, next_counts_ = 0, next_spread_ = 0,
@@ -114,10 +137,15 @@
     pith::Micros keep_ = 0, in_sight_ = 0;  // between keep-alives; a proxy heard within it is in sight
     std::size_t fleet_ = 1;
     std::set<std::string> met_;  // peers just heard of, to be told of every customer
-    bool all_next_ = true;                  // partners that are new need a baseline of every customer
+    bool all_next_ = true;       // partners that are new need a baseline of every customer
     std::map<std::string, tide::Worst> worst_;
     pith::Micros next_worst_ = 0;
-    pith::Micros next_soon_ = 0, next_pull_ = 0, next_load_ = 0;
+    pith::Micros next_soon_ = 0, next_load_ = 0;
+    // A bundle asked of a peer: of whom, until when that counts as under way, and whether its text must come
+    // whole.
+    std::string pulled_from_;
+    pith::Micros next_pull_ = 0, pull_until_ = 0;
+    bool pull_whole_ = false, peer_next_ = false;
     std::uint64_t counts_seq_ = 0, refused_ = 0;
     tide::Standing standing_ = tide::Standing::floor;
     bool lonely_ = false, quiet_ = false;
--- a/packages/span/include/span/errand.hpp
+++ b/packages/span/include/span/errand.hpp
@@ -18,16 +18,23 @@
     Head head;
     Plan plan;
     Refusal refusal;
-    bool planned = false;  // the try id is noted
-    bool queued = false;   // it stands in S
-    bool released = false; // a pass was there, or none is needed: it goes at once
+    bool planned = false;   // the try id is noted
+    bool queued = false;    // it stands in S
+    bool released = false;  // a pass was there, or none is needed: it goes at once
 };
 
 class Lobby {
   public:
+    // `behind`: a higher bundle than `policy` gives is known to stand (ProxyCore::behind). Then nothing is
+    // refused by the older one (docs/control.md, "Serving").
     Lobby(tide::Basin& b, Pool& p, Tries& t, std::function<creed::PolicyPtr()> policy,
-          const Dialect& d = own_dialect())
-        : basin_(b), pool_(p), tries_(t), policy_(std::move(policy)), dialect_(d) {}
+          const Dialect& d = own_dialect(), std::function<bool(pith::Micros)> behind = nullptr)
+        : basin_(b),
+          pool_(p),
+          tries_(t),
+          policy_(std::move(policy)),
+          dialect_(d),
+          behind_(std::move(behind)) {}
     // Plans it and puts it in the queue under `id`, or tells why not.
     void enter(pith::Micros now, tide::Id id, bool stopping, Entry* e);
     // Its pass came: the newest policy and the clock decide once more. False: turned away.
@@ -40,11 +47,16 @@
     void end(const Entry& e, bool sent);
 
   private:
+    bool behind(pith::Micros now) const { return behind_ && behind_(now); }
+    void refuse(pith::Error why, bool older,
+                Refusal* refusal) const;  // older: than one that is known to stand
+
     tide::Basin& basin_;
     Pool& pool_;
     Tries& tries_;
     std::function<creed::PolicyPtr()> policy_;
     const Dialect& dialect_;
+    std::function<bool(pith::Micros)> behind_;
 };
 
 // Of a visit's time, kept for the server.
@@ -53,6 +65,35 @@
 // What came of an exchange. shed: the server was full; misdirected: another instance is there (421); both say
 // that nothing was run.
 enum class Step { answered, unsent, lost, late, garbled, shed, misdirected };
+
+// What keeps an answer with its caller and a write from running twice (docs/requests.md). All of it holds in the
+// product; a test switches one off to show that its absence is noticed.
+struct RequestRules {
+    // A write that may have run is not sent again.
+    bool write_once = true;
+    // A write whose caller went away before it was sent is not sent.
+    bool write_needs_caller = true;
+    // An answer that names another try is no answer to this one.
+    bool match_try_id = true;
+    // "Not run" without a try id counts for a write only as the first answer of its connection.
+    bool named_or_first = true;
+    // A server that names no tries gets one request for each connection.
+    bool reuse_only_echoing = true;
+    // A connection that carried more than the answer is not used again.
+    bool close_after_surplus = true;
+    // Nor one that was closed, or on which something lies, before the request is sent.
+    bool look_before_send = true;
+    // Nor one whose answer was not taken as it stood.
+    bool close_after_doubt = true;
+    // A try goes over a connection once: a copy of its first answer says nothing of its second send.
+    bool one_send_of_a_try = true;
+    // 1xx is no answer.
+    bool skip_interim = true;
+    // An answer that only ends with its connection may have been cut.
+    bool need_length = true;
+    // 408, 421, 429 and 503 promise something only with the server's mark.
+    bool need_mark = true;
+};
 // open: a session, then the exchange; wait: for a slot; pass: for a new pass, then passed() or no_pass().
 enum class Do { wait, open, pass, answer, refuse };
 
@@ -86,6 +127,7 @@
     int sends() const { return sends_; }
     // Asked before each hand-over: does the newest policy still allow it? A key may be revoked meanwhile.
     std::function<bool(Refusal*)> allowed;
+    RequestRules rules;
     std::function<void(const std::string& service)> slot_free;  // someone in line may go
 
   private:
--- a/packages/span/include/span/hall.hpp
+++ b/packages/span/include/span/hall.hpp
@@ -90,6 +90,9 @@
     Traces traces;
     Tolls tolls;
     std::atomic<bool> ready{false}, stopping{false};
+    // ProxyCore::behind_until(), monotonic; it is to be set after policy(), so that no refusal by an older
+    // bundle slips through between the two.
+    std::atomic<pith::Micros> behind_until{0};
     std::atomic<int> in_flight{0};
     std::function<void()> arm;  // starts the ticker where it rests
 
--- a/packages/span/include/span/relay.hpp
+++ b/packages/span/include/span/relay.hpp
@@ -25,7 +25,9 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buf;
     pith::Micros idle_since = 0, idle_for = 0;
-    bool echoes = false;  // the server promised to name the try in every answer
+    bool echoes = false;   // the server promised to name the try in every answer
+    std::string last_try;  // sent over it last
+    int sends = 0;         // requests of callers sent over it
 };
 
 // What came of a plan: a whole answer, or a refusal that is true.
@@ -51,14 +53,30 @@
     void give_up();
     void sweep(pith::Micros now);  // closes sessions long idle or to servers that are gone
     std::size_t idle_sessions() const;
+    RequestRules rules;  // a test's to change, before the worker starts
 
   private:
+    // One send, as its answer is judged by it.
+    struct Sent {
+        const Plan& plan;
+        bool whole = false;  // the whole request was written
+        bool first = false;  // the first of its connection
+    };
+    enum class Owner { ours, another_try, unclear };
+
     std::unique_ptr<Session> open(const Slot& s, pith::Micros until, std::uint8_t* verdict,
                                   boost::asio::yield_context y);
-    std::unique_ptr<Session> idle(const Slot& s);
+    std::unique_ptr<Session> idle(const Slot& s, const std::string& try_id);
+    bool quiet(Session& s) const;
     Step exchange(Session& s, const Plan& p, const Slot& slot, const Visit& v, pith::Micros until, Reply* r,
                   bool* keep, boost::asio::yield_context y);
     void fill(const Plan& p, const Slot& slot, const Visit& v, pith::Micros left, Visit* q) const;
+    Step read_answer(Session& s, const Sent& sent, Reply* r, bool* keep, boost::asio::yield_context y);
+    Owner owner(const Reply& in, const Session& s, const Sent& sent) const;
+    bool says_not_run(const Reply& in) const;
+    bool misdirected(const Reply& in) const;
+    Step judge(const Reply& in) const;
+    void hand_over(const Reply& in, bool bodyless, bool head_only, Reply* out) const;
     static void idle_time(const Reply& in, Session* s);
     void wait_in_line(const Plan& p, pith::Micros until, boost::asio::yield_context y);
     void keep(const Slot& s, std::unique_ptr<Session> x);
--- a/packages/span/src/common.cpp
+++ b/packages/span/src/common.cpp
@@ -92,12 +92,6 @@
     return c;
 }
 
-std::vector<std::pair<std::string, std::string>> keeper_list(const pith::Settings& s) {
-    std::vector<std::pair<std::string, std::string>> v;
-    for (const auto& k : s.keepers) v.emplace_back(k.name, k.address);
-    return v;
-}
-
 json::object members_json(const knell::Knell& k) {
     static const char* names[] = {"live", "draining", "left", "down"};
     json::array a;
--- a/packages/span/src/common.hpp
+++ b/packages/span/src/common.hpp
@@ -55,7 +55,6 @@
 };
 
 knell::Config knell_config(const pith::Settings& s, const std::string& role, std::uint64_t inc);
-std::vector<std::pair<std::string, std::string>> keeper_list(const pith::Settings& s);
 boost::json::object members_json(const knell::Knell& k);
 std::string query(const weft::Ask& q, const std::string& name);
 bool may_change(const pith::Settings& s, const weft::Ask& q, const weft::Desk::Reply& r);
@@ -65,7 +64,8 @@
   public:
     virtual pith::Result<bool> open() = 0;
 };
-std::shared_ptr<Daemon> make_keeper(pith::Kernel& k, const pith::Settings& s);
+// `wait_for_disk`: where the folder can't be used yet it is tried again, rather than given up.
+std::shared_ptr<Daemon> make_keeper(pith::Kernel& k, const pith::Settings& s, bool wait_for_disk);
 // Runs until a signal ends it; gives the exit code.
 int run_daemon(pith::Kernel& k, const std::shared_ptr<Control>& ctl, const char* role,
                const std::shared_ptr<Daemon>& d);
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -3,47 +3,63 @@
 #include <algorithm>
 #include <set>
 
+#include "consensus/founding.hpp"
+
 namespace span {
 
 using pith::Micros;
 
 namespace {
 constexpr Micros kMostBackoff = 20 * pith::kSecond;
+constexpr std::size_t kMostHigher = 64;  // numbers above ours that are kept in mind
 }  // namespace
 
-ProxyCore::ProxyCore(knell::Config k, std::vector<std::pair<std::string, std::string>> keepers, CoreTuning t,
-                     tide::Basin* basin, Pool* pool)
+ProxyCore::ProxyCore(knell::Config k, CoreTuning t, tide::Basin* basin, Pool* pool)
     : knell_(std::move(k)),
-      follower_(keepers, t.feed_every),
-      discovered_(keepers.empty()),
+      follower_(t.feed_every, knell_.inc()),
       t_(t),
       basin_(basin),
       pool_(pool),
       tally_(t.tally) {
-    for (auto& p : keepers) keepers_[p.first] = p.second;
     cadence();
 }
 
+std::map<std::string, std::string> ProxyCore::control_nodes() const {
+    std::map<std::string, std::string> nodes;
+    for (const auto* m : knell_.live("keeper")) nodes[m->rec.name] = m->rec.address;
+    return nodes;
+}
+
 void ProxyCore::spread(const weft::Msg& m, Todo* d, bool keepers_too) {
     for (const auto* p : knell_.live())
         if (keepers_too || p->rec.role == "proxy") d->out.push_back({p->rec.address, m});
 }
 
 // Highest number, never back (docs/design.md 5.4).
-void ProxyCore::take_bundle(Micros now, std::uint64_t number, const std::string& hash,
-                            const std::string& text, Todo* d) {
-    if (policy_ != nullptr && number <= policy_->number()) return;
-    auto b = creed::read_told(text);
-    if (!b || b->number != number || b->hash != hash) {
+ProxyCore::Taken ProxyCore::take_bundle(Micros now, const weft::ChangeRec& told, Todo* d) {
+    if (told.number <= number()) return Taken::known;
+    const std::string* base = told.base.empty() ? nullptr : contents_.find(told.base);
+    if (told.text.empty() || (base == nullptr && !told.base.empty())) return Taken::unreadable;
+    const auto text = consensus::unpack_content(told.text, base == nullptr ? std::string() : *base);
+    if (!text) return Taken::unreadable;
+    auto bundle = creed::read_told(*text);
+    if (!bundle || bundle->number != told.number || bundle->hash != told.hash) {
         ++refused_;
-        return;
+        return Taken::refused;
     }
-    hash_ = hash;
-    text_ = text;
+    hash_ = told.hash;
+    contents_.put(hash_, *text);
+    act_on(now, std::move(*bundle), d);
+    return Taken::yes;
+}
+
+void ProxyCore::act_on(Micros now, creed::Bundle bundle, Todo* d) {
+    std::string().swap(bundle.text);  // it stands in the ContentStore; two copies would be one too many
     std::map<std::string, tide::Grant> a;
-    for (const auto& c : b->customers) a[c.first] = tide::Grant(c.second.allowance, c.second.burst);
-    policy_ = std::make_shared<const creed::Policy>(std::move(*b));
-    knell_.freight().commit = number;
+    for (const auto& c : bundle.customers) a[c.first] = tide::Grant(c.second.allowance, c.second.burst);
+    policy_ = std::make_shared<const creed::Policy>(std::move(bundle));
+    knell_.freight().commit = number();
+    higher_.erase(higher_.begin(), higher_.upper_bound(number()));
     for (auto i = worst_.begin(); i != worst_.end();)
         i = a.count(i->first) == 0 ? worst_.erase(i) : std::next(i);
     for (auto i = told_.begin(); i != told_.end();)
@@ -56,6 +72,21 @@
     d->policy = true;
 }
 
+// Each number's time runs from when it was heard first. Where too many are in mind the one heard first is let
+// go.
+void ProxyCore::note_number(Micros now, std::uint64_t number_heard) {
+    if (number_heard <= number() || !higher_.emplace(number_heard, now).second) return;
+    if (higher_.size() <= kMostHigher) return;
+    higher_.erase(std::min_element(higher_.begin(), higher_.end(),
+                                   [](const auto& a, const auto& b) { return a.second < b.second; }));
+}
+
+Micros ProxyCore::behind_until() const {
+    Micros until = 0;
+    for (const auto& heard : higher_) until = std::max(until, heard.second + t_.behind_most);
+    return until;
+}
+
 // Both ways: it is heard, and does not say that it fails to hear us.
 bool ProxyCore::in_sight(const knell::Member& m, Micros now) const {
     if (m.rec.role != "proxy") return m.rec.state <= knell::kDraining && now - m.heard <= t_.keeper_in_sight;
@@ -71,8 +102,8 @@
     return v;
 }
 
-// Without a tolerance words come each 100 ms where anything changed. With one, a keep-alive each 400 ms (longer
-// in a large fleet) is all that is certain, and silence is judged by that (docs/design.md 6.5).
+// Without a tolerance words come each 100 ms where anything changed. With one, a keep-alive each 400 ms
+// (longer in a large fleet) is all that is certain, and silence is judged by that (docs/design.md 6.5).
 void ProxyCore::cadence() {
     keep_ = t_.counts_slow;
     in_sight_ = t_.in_sight;
@@ -133,8 +164,9 @@
 namespace {
 void put(const tide::Count& r, bool tolerant, weft::Counts* c) {
     if (tolerant)
-        weft::put_brief(&c->brief, {weft::brief_hash(r.rec.customer), static_cast<std::uint32_t>(r.rec.released),
-                                    static_cast<std::uint32_t>(r.rec.rate_milli / 100), r.rec.queued});
+        weft::put_brief(&c->brief,
+                        {weft::brief_hash(r.rec.customer), static_cast<std::uint32_t>(r.rec.released),
+                         static_cast<std::uint32_t>(r.rec.rate_milli / 100), r.rec.queued});
     else
         c->counts.push_back(r.rec);
 }
@@ -157,8 +189,8 @@
             continue;
         }
         const auto c = policy_->bundle().customers.find(r.rec.customer);
-        much = much ||
-               (u >= 1 && c != policy_->bundle().customers.end() && u >= t_.much * c->second.allowance);
+        much =
+            much || (u >= 1 && c != policy_->bundle().customers.end() && u >= t_.much * c->second.allowance);
     }
     const bool slow = now - last_counts_ >= keep_, tolerant = basin_->tolerant();
     const auto deaf = silent(now);
@@ -191,9 +223,13 @@
         if (!r.here && !all) continue;
         if (tolerant) {
             const bool due = now - old.at >= t_.told_latest;
-            tell = (!same && (due || untold(r) >= std::max(1.0, r.untold / 2) ||
-                              (r.untold < 1 && old.queued != r.rec.queued))) ||
-                   (due && slow && (!large || now - old.at >= 5 * t_.told_latest));  // once more now and then, lest one frame that was lost cost much
+            tell =
+                (!same && (due || untold(r) >= std::max(1.0, r.untold / 2) ||
+                           (r.untold < 1 && old.queued != r.rec.queued))) ||
+                (due && slow &&
+                 (!large ||
+                  now - old.at >=
+                      5 * t_.told_latest));  // once more now and then, lest one frame that was lost cost much
         } else if (slow) {
             tell = true;  // all of it now and then: one frame that was lost costs no more than this
         }
@@ -218,30 +254,21 @@
     spread(c, d, false);
 }
 
-// One node asks the platform. In a large fleet it is one beside a keeper: such machines have the links to tell all
-// (docs/design.md 7.2).
+// One node asks the platform. In a large fleet it is one beside a keeper: such machines have the links to
+// tell all (docs/design.md 7.2).
 bool ProxyCore::lister() const {
     if (fleet_ <= t_.large) return knell_.mine("listing", "proxy");
     std::set<std::string> hosts;
-    for (const auto* m : knell_.live("keeper")) hosts.insert(m->rec.address.substr(0, m->rec.address.rfind(':')));
+    for (const auto* m : knell_.live("keeper"))
+        hosts.insert(m->rec.address.substr(0, m->rec.address.rfind(':')));
     if (hosts.empty()) return knell_.mine("listing", "proxy");
     return knell_.mine("listing", "proxy", &hosts);
 }
 
 void ProxyCore::tick(Micros now, Todo* d) {
     knell_.tick(now, &d->out);
-    if (discovered_) {
-        keepers_.clear();
-        for (const auto* m : knell_.live("keeper")) keepers_[m->rec.name] = m->rec.address;
-        follower_.roster(keepers_);
-    }
-    for (auto& k : keepers_) {
-        const std::string at = knell_.address(k.first);
-        if (at.empty() || at == k.second) continue;
-        k.second = at;
-        follower_.readdress(k.first, at);
-    }
-    follower_.tick(now, policy_ == nullptr ? 0 : policy_->number(), &d->out);
+    follower_.roster(control_nodes());
+    follower_.tick(now, number(), hash_, &d->out);
     world(now);
     const auto s = tally_.tick(now, tally_.doubts(now) ? basin_->shares() : std::map<std::string, double>{},
                                standing_ == tide::Standing::part);
@@ -251,8 +278,8 @@
     if (now >= next_worst_) {
         next_worst_ = now + tide::Worst::kEvery;
         for (const auto& c : all)
-            worst_[c.rec.customer].note(
-                now, static_cast<double>(c.rec.released) + tally_.told(c.rec.customer));
+            worst_[c.rec.customer].note(now,
+                                        static_cast<double>(c.rec.released) + tally_.told(c.rec.customer));
     }
     // The listing is one node's duty, under an epoch (docs/design.md 7.2).
     if (lister() && follower_.ready()) {
@@ -284,12 +311,13 @@
             }
         if (!at.empty()) d->out.push_back({at, weft::ListingAsk{listing_.epoch, listing_.version}});
         if (at.empty() && listing_.epoch == 0)
-            for (const auto& k : keepers_) d->out.push_back({k.second, weft::ListingAsk{0, 0}});
+            for (const auto& k : control_nodes()) d->out.push_back({k.second, weft::ListingAsk{0, 0}});
     }
     // What a server said of its own leaving, to any of us, is told to all (docs/design.md 7.3).
     const auto gone = pool_->leaving_news();
     if (!gone.empty()) spread(weft::Probes{gone}, d, false);
-    // Within a zone bytes are cheap, and what peers have in flight decides: told between counts (docs/design.md 7.3).
+    // Within a zone bytes are cheap, and what peers have in flight decides: told between counts
+    // (docs/design.md 7.3).
     if (fleet_ <= t_.large && now >= next_load_) {
         next_load_ = now + t_.load_every;
         weft::Load l;
@@ -307,6 +335,72 @@
     }
 }
 
+void ProxyCore::hear_feed(Micros now, const weft::Envelope& e, const weft::FeedSaid& said, bool fresh,
+                          Todo* d) {
+    if (fresh) note_number(now, said.commit);
+    for (const auto& c : follower_.hear(now, e, &d->out)) {
+        if (c.kind == consensus::kServerMark) pool_->mark(c.hash, c.text == "drain");
+        if (c.kind == consensus::kBundle && take_bundle(now, c, d) == Taken::unreadable)
+            follower_.ask_whole(now, e.from, &d->out);
+    }
+}
+
+// A member acts on a higher bundle: the control nodes are asked at once, and where they are out of reach, or
+// far, whoever acts on it has it (docs/design.md 5.4). In a large fleet all asking all would fill links: one
+// control node is asked, then a peer, and so on in turn.
+void ProxyCore::hear_beat(Micros now, const weft::MemberRec& from, std::uint64_t number_heard, Todo* d) {
+    if (number_heard <= number()) return;
+    note_number(now, number_heard);
+    const bool large = fleet_ > t_.large;
+    if (!large) follower_.hurry(now);
+    if (now < next_pull_ || !follower_.ready()) return;
+    // One pull at a time: texts may be long, and links slow.
+    const bool under_way = !pulled_from_.empty() && now < pull_until_;
+    const bool may_pull = from.role == "proxy" && !under_way;
+    if (large && !(may_pull && peer_next_)) {
+        next_pull_ = now + t_.pull_every;
+        peer_next_ = true;
+        follower_.hurry_one(now);
+    } else if (may_pull) {
+        pull(now, from, d);
+    }
+}
+
+void ProxyCore::pull(Micros now, const weft::MemberRec& from, Todo* d) {
+    next_pull_ = now + t_.pull_every;
+    pull_until_ = now + t_.pull_wait;
+    peer_next_ = false;
+    pulled_from_ = from.name;
+    d->out.push_back({from.address, weft::BundleAsk{number(), pull_whole_ ? std::string() : hash_}});
+}
+
+void ProxyCore::hear_pulled(Micros now, const std::string& from, const weft::ChangeRec& told, Todo* d) {
+    if (from == pulled_from_) pulled_from_.clear();
+    pull_whole_ = take_bundle(now, told, d) == Taken::unreadable;
+}
+
+// Only what we act on, and only to one that acts on less.
+void ProxyCore::answer_pull(const std::string& to, const weft::BundleAsk& ask, Todo* d) {
+    if (to.empty() || number() <= ask.commit) return;
+    weft::BundleSaid said;
+    said.bundle.kind = consensus::kBundle;
+    said.bundle.number = number();
+    said.bundle.hash = hash_;
+    said.bundle.text = contents_.packed(hash_, ask.hash, &said.bundle.base);
+    d->out.push_back({to, said});
+}
+
+// A seed is a witness to the control nodes' founding: it names those that it knows (docs/control.md, "First
+// start").
+void ProxyCore::answer_founding(Micros now, const std::string& to, std::uint64_t nonce, Todo* d) const {
+    if (to.empty()) return;
+    weft::FoundingSaid said;
+    said.nonce = nonce;
+    for (const auto& node : consensus::control_nodes_known(knell_, now, consensus::FoundingConfig{}.hold))
+        said.nodes.push_back(node.first);
+    d->out.push_back({to, said});
+}
+
 void ProxyCore::hear(Micros now, const weft::Envelope& e, Todo* d) {
     const bool fresh = knell_.hear(now, e, &d->out);
     if (const auto* c = std::get_if<weft::Counts>(&e.msg)) {
@@ -328,44 +422,23 @@
         return;
     }
     if (const auto* h = std::get_if<weft::Heartbeat>(&e.msg)) {
-        if (!fresh || h->commit <= (policy_ == nullptr ? 0 : policy_->number())) return;
-        follower_.hurry(now);
-        // Where keepers are out of reach, or far, whoever acts on it has it (docs/design.md 5.4).
-        if (now >= next_pull_ && started()) {
-            next_pull_ = now + t_.pull_every;
-            d->out.push_back({h->me.address, weft::StateAsk{0, policy_ == nullptr ? 0 : policy_->number()}});
-        }
+        if (fresh) hear_beat(now, h->me, h->commit, d);
         return;
     }
-    if (std::holds_alternative<weft::FeedSaid>(e.msg)) {
-        for (const auto& c : follower_.hear(now, e, &d->out)) {
-            if (c.kind == vault::kBundle) take_bundle(now, c.number, c.hash, c.text, d);
-            if (c.kind == vault::kServerMark) pool_->mark(c.hash, c.text == "drain");
-        }
+    if (const auto* f = std::get_if<weft::FeedSaid>(&e.msg)) {
+        hear_feed(now, e, *f, fresh, d);
         return;
     }
-    if (std::holds_alternative<weft::StateAsk>(e.msg)) {
-        const std::string to = knell_.address(e.from);
-        if (to.empty() || (policy_ == nullptr && !discovered_)) return;
-        const auto& q = std::get<weft::StateAsk>(e.msg);
-        weft::StateSaid r;
-        if (policy_ != nullptr) {
-            r.commit = policy_->number();
-            r.hash = hash_;
-            if (q.commit < r.commit) r.text = text_;
-        }
-        if (discovered_) {  // a witness to the keepers' founding (docs/design.md 5.7)
-            r.nonce = q.nonce;
-            r.electors = follower_.electors();
-            r.founded = r.electors.empty() ? 0 : 1;
-            for (const auto& p : vault::keepers_known(knell_, now, vault::Electorate::Config{}.hold))
-                r.keepers.push_back(p.first);
-        }
-        d->out.push_back({to, r});
+    if (const auto* q = std::get_if<weft::BundleAsk>(&e.msg)) {
+        answer_pull(knell_.address(e.from), *q, d);
+        return;
+    }
+    if (const auto* b = std::get_if<weft::BundleSaid>(&e.msg)) {
+        hear_pulled(now, e.from, b->bundle, d);
         return;
     }
-    if (const auto* r = std::get_if<weft::StateSaid>(&e.msg)) {
-        if (!r->text.empty()) take_bundle(now, r->commit, r->hash, r->text, d);
+    if (const auto* q = std::get_if<weft::FoundingAsk>(&e.msg)) {
+        answer_founding(now, knell_.address(e.from), q->nonce, d);
         return;
     }
     if (const auto* l = std::get_if<weft::Listing>(&e.msg)) {
--- a/packages/span/src/errand.cpp
+++ b/packages/span/src/errand.cpp
@@ -12,8 +12,23 @@
 constexpr int kMostUnsent = 8;
 // A pass not used so long has come back to the pool meanwhile: it is no longer good.
 constexpr Micros kPassGood = 100 * pith::kMilli;
+
+// Refusals that another bundle might not give.
+bool by_bundle(Kind kind) {
+    return kind == Kind::key_unknown || kind == Kind::not_allowed || kind == Kind::no_route ||
+           kind == Kind::method_wrong;
+}
 }  // namespace
 
+void Lobby::refuse(pith::Error why, bool older, Refusal* refusal) const {
+    refusal->error = std::move(why);
+    if (older && by_bundle(refusal->error.kind))
+        refusal->error = {
+            Kind::behind,
+            "this machine learns of a newer bundle right now, which may allow it: come back shortly"};
+    if (pith::kind_returns(refusal->error.kind)) refusal->retry_after = pith::kSecond;
+}
+
 void Lobby::enter(Micros now, tide::Id id, bool stopping, Entry* e) {
     e->refusal.try_id = e->head.try_id.substr(0, 128);
     if (stopping) {
@@ -21,16 +36,19 @@
         e->refusal.retry_after = pith::kSecond;
         return;
     }
-    auto pl = plan(e->head, policy_().get(), now, dialect_);
+    const bool older =
+        behind(now);  // before the policy is read: it may be a newer one by then, never an older
+    const creed::PolicyPtr policy = policy_();
+    auto pl = plan(e->head, policy.get(), now, dialect_);
     if (!pl) {
-        e->refusal.error = pl.error();
-        if (pith::kind_returns(pl.error().kind)) e->refusal.retry_after = pith::kSecond;
-        if (pl.error().kind == Kind::method_wrong)
-            e->refusal.allow = policy_()->methods(e->head.target.substr(0, e->head.target.find('?')));
+        refuse(pl.error(), older, &e->refusal);
+        if (e->refusal.error.kind == Kind::method_wrong)
+            e->refusal.allow = policy->methods(e->head.target.substr(0, e->head.target.find('?')));
         return;
     }
     e->plan = *pl;
-    // A read may run again: its try need not be remembered where the dialect says nothing of tries seen before.
+    // A read may run again: its try need not be remembered where the dialect says nothing of tries seen
+    // before.
     if ((dialect_.strict || pl->write) && !tries_.begin(now, pl->customer, pl->try_id)) {
         e->refusal.error = {
             Kind::try_seen,
@@ -64,13 +82,22 @@
 }
 
 bool Lobby::released(Micros now, Entry* e) {
+    const bool older = behind(now);
     auto again = plan_again(e->head, policy_().get(), e->plan, now, dialect_);
     if (!again) {
-        e->refusal.error = again.error();
-        if (pith::kind_returns(again.error().kind)) e->refusal.retry_after = pith::kSecond;
+        refuse(again.error(), older, &e->refusal);
+        return false;
+    }
+    // The kind of its route changed meanwhile: what may run once only under either bundle is sent once, and a try
+    // that was let in as a read was not remembered as one that may.
+    const bool was_write = e->plan.write;
+    if (again->write && !was_write) {
+        e->refusal.error = {Kind::not_ready, "the route became a write while this waited: send it again"};
+        e->refusal.retry_after = pith::kMilli;
         return false;
     }
     e->plan = *again;
+    e->plan.write = was_write;
     return true;
 }
 
@@ -88,7 +115,8 @@
 }
 
 void Lobby::end(const Entry& e, bool sent) {
-    if (e.planned && !sent && (dialect_.strict || e.plan.write)) tries_.not_run(e.plan.customer, e.plan.try_id);
+    if (e.planned && !sent && (dialect_.strict || e.plan.write))
+        tries_.not_run(e.plan.customer, e.plan.try_id);
 }
 
 Do Errand::refuse(Kind k, const char* why, Micros retry_after) {
@@ -247,7 +275,7 @@
             Kind::answer_lost,
             "the server's answer was lost and it may have done it: ask for its state before a new try"};
     // A write is sent once. A read may go to another server, within the budget.
-    if (p_.write) return no_pass(last_);
+    if (p_.write && rules.write_once) return no_pass(last_);
     return elsewhere(now);
 }
 
--- a/packages/span/src/front.cpp
+++ b/packages/span/src/front.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <array>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
@@ -22,6 +23,7 @@
 constexpr std::uint64_t kMaxCallers = 4096;
 constexpr auto kBodyIn = std::chrono::seconds(15);
 constexpr auto kWriteIn = std::chrono::seconds(10);
+constexpr auto kDrainFor = std::chrono::milliseconds(500);
 
 std::chrono::steady_clock::time_point at(Micros t) {
     return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
@@ -137,7 +139,7 @@
 void Worker::visit(Visit& v, tcp::socket& s, Carried* c, asio::yield_context y) {
     Entry e;
     const Dialect& d = hall_.dialect;
-    e.head = {std::string(v.method_string()), std::string(v.target()), field(v, d.key),    field(v, d.try_id),
+    e.head = {std::string(v.method_string()), std::string(v.target()), field(v, d.key), field(v, d.try_id),
               field(v, d.deadline),           field(v, d.attempt),     field(v, "Host")};
     ++hall_.tolls.visits;
     ++hall_.in_flight;
@@ -172,7 +174,14 @@
                 if (!came) *r = e.refusal;
                 return came;
             },
-            [&](Refusal* r) { return hall_.lobby.allowed(pith::mono_now(), &e, r); }, c, y);
+            [&](Refusal* r) {
+                if (!hall_.lobby.allowed(pith::mono_now(), &e, r)) return false;
+                // Whoever went away may have asked again elsewhere, as after a standstill of this process.
+                if (!e.plan.write || !relay.rules.write_needs_caller || !caller_left(s)) return true;
+                r->error = {Kind::late, "its caller went away before it was sent: nothing was run"};
+                return false;
+            },
+            c, y);
     } else
         c->refusal = e.refusal;
     hall_.lobby.end(e, c->sent);
@@ -221,7 +230,11 @@
                     if (ec) return;
                 }
                 st.expires_after(kBodyIn);
+                // What follows a chunked body is no part of the head: it names no try, key or host.
+                const bool trailers = p.chunked();
+                const http::request_header<> said = trailers ? p.get().base() : http::request_header<>{};
                 http::async_read(st, buf, p, y[ec]);
+                if (trailers) p.get().base() = said;
             }
         }
         if (ec) {
@@ -230,9 +243,11 @@
                 ec == http::error::partial_message || ec == asio::error::eof)
                 return;
             if (ec == http::error::body_limit)
-                c.refusal.error = {Kind::too_large, "the body is over " + size_text(limits.body_bytes) + ": send less"};
+                c.refusal.error = {Kind::too_large,
+                                   "the body is over " + size_text(limits.body_bytes) + ": send less"};
             else if (ec == http::error::header_limit)
-                c.refusal.error = {Kind::head_too_large, "the head is over " + size_text(limits.header_bytes) + ": send less"};
+                c.refusal.error = {Kind::head_too_large,
+                                   "the head is over " + size_text(limits.header_bytes) + ": send less"};
             else
                 c.refusal.error = {Kind::bad_visit,
                                    "not a sound HTTP/1.1 request (" + ec.message() + "): mend the caller"};
@@ -279,9 +294,9 @@
     }
     st.socket().shutdown(tcp::socket::shutdown_send, ec);
     // What the caller still sends is read for a moment, lest a reset eat our answer.
-    char sink[4096];
-    st.expires_after(std::chrono::milliseconds(500));
-    for (int i = 0; i < 16 && !ec; ++i) st.async_read_some(asio::buffer(sink), y[ec]);
+    std::array<char, 16384> sink;
+    st.expires_after(kDrainFor);
+    while (!ec) st.async_read_some(asio::buffer(sink), y[ec]);
 }
 
 Front::Front(asio::io_context& io, Hall& h, std::vector<std::unique_ptr<Worker>>& w)
--- a/packages/span/src/hall.cpp
+++ b/packages/span/src/hall.cpp
@@ -32,11 +32,14 @@
     return v;
 }
 
-Hall::Hall(std::string node, std::string locality, const Dialect& d, const tide::Tuning& t, const PoolTuning& p)
+Hall::Hall(std::string node, std::string locality, const Dialect& d, const tide::Tuning& t,
+           const PoolTuning& p)
     : dialect(d),
       basin(t),
       pool(std::move(node), std::move(locality), p),
-      lobby(basin, pool, tries, [this] { return policy(); }, d) {}
+      lobby(
+          basin, pool, tries, [this] { return policy(); }, d,
+          [this](pith::Micros now) { return now < behind_until; }) {}
 
 creed::PolicyPtr Hall::policy() {
     Lock l(pm_);
--- a/packages/span/src/listing.cpp
+++ b/packages/span/src/listing.cpp
@@ -1,5 +1,6 @@
 #include "span/listing.hpp"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 #include "pith/settings.hpp"
@@ -12,6 +13,7 @@
 namespace {
 constexpr std::uint64_t kMostSlots = 1024, kMostColdMs = 600000;
 constexpr std::size_t kMaxToken = 512;
+constexpr std::size_t kMostService = 64, kMostInstance = 128;
 
 // An optional whole number: false where it stands there and is none, or is out of bounds.
 bool whole(const json::object& o, const char* k, std::uint64_t least, std::uint64_t most, std::uint64_t* n) {
@@ -23,6 +25,12 @@
     *n = x;
     return true;
 }
+
+// A name goes into header fields and keys: visible signs only, `spaces` but for services.
+bool name(const std::string& w, std::size_t most, bool spaces) {
+    const auto sign = [spaces](unsigned char c) { return (c > ' ' && c != 127) || (spaces && c == ' '); };
+    return !w.empty() && w.size() <= most && std::all_of(w.begin(), w.end(), sign);
+}
 }  // namespace
 
 bool read_listing(const std::string& body, std::vector<weft::ServerRec>* v, std::string* next) {
@@ -41,7 +49,7 @@
         if (x == nullptr) return false;
         auto word = [x](const char* k) {
             const auto* w = x->if_contains(k);
-            return w != nullptr && w->is_string() ? std::string(w->get_string().c_str()) : std::string();
+            return w != nullptr && w->is_string() ? std::string(w->get_string()) : std::string();
         };
         std::uint64_t slots = kSlots, cold_ms = 0;
         if (!whole(*x, "slots", 1, kMostSlots, &slots) || !whole(*x, "cold_ms", 0, kMostColdMs, &cold_ms))
@@ -54,9 +62,8 @@
                           static_cast<std::uint32_t>(slots),
                           cold_ms * 1000,
                           word("version")};
-        if (!pith::address_ok(r.address) || r.service.empty() || r.instance.empty() ||
-            r.instance.size() > 128 || r.service.size() > 64 || r.version.size() > 128 ||
-            r.instance.find(' ') != std::string::npos)
+        if (!pith::address_ok(r.address) || !name(r.service, kMostService, true) ||
+            !name(r.instance, kMostInstance, false) || r.version.size() > kMostInstance)
             return false;
         v->push_back(std::move(r));
     }
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -53,8 +53,7 @@
         tick_ = std::make_unique<asio::steady_timer>(ctl_->io);
         pulse_ = std::make_unique<asio::steady_timer>(ctl_->io);
         core_ = std::make_unique<ProxyCore>(
-            knell_config(set_, "proxy", static_cast<std::uint64_t>(pith::wall_now())), keeper_list(set_),
-            CoreTuning{}, &hall_.basin, &hall_.pool);
+            knell_config(set_, "proxy", static_cast<std::uint64_t>(pith::wall_now())), CoreTuning{}, &hall_.basin, &hall_.pool);
         for (int i = 0; i < set_.threads; ++i) workers_.push_back(std::make_unique<Worker>(hall_));
         front_ = std::make_unique<Front>(ctl_->io, hall_, workers_);
         hall_.arm = [this] { arm(); };
@@ -165,6 +164,7 @@
                       {{"number", core_->policy()->number()},
                        {"hash", core_->policy()->bundle().hash.substr(0, 16)}});
         }
+        hall_.behind_until = core_->behind_until();  // after the policy: no refusal out of the older one slips through
         if (d.list)
             asio::spawn(
                 ctl_->io, [this](asio::yield_context y) { list(y); }, asio::detached);
@@ -482,7 +482,7 @@
     if (r.keeper) {
         kctl = std::make_shared<Control>(*r.keeper);
         kctl->hup = [] {};
-        keeper = make_keeper(kk, *r.keeper);
+        keeper = make_keeper(kk, *r.keeper, true);
         t = std::thread([&] {
             // A keeper that can't go on is no reason to end what serves: the proxy goes on without it.
             const int code = run_daemon(kk, kctl, "keeper", keeper);
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -22,11 +22,18 @@
 constexpr std::size_t kKeepSessions = 4;  // idle ones to one server, of one worker
 constexpr Micros kIdleFor = 20 * pith::kSecond;
 constexpr Micros kProveIn = 1500 * pith::kMilli;
+constexpr int kMostAnswers = 8;  // read for one request: interim ones, late ones to other requests, its own
 
 std::chrono::steady_clock::time_point at(Micros t) {
     return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
 }
 
+bool broken_off(const boost::system::error_code& ec) {
+    return ec == http::error::end_of_stream || ec == http::error::partial_message ||
+           ec == asio::error::connection_reset || ec == asio::error::eof || ec == asio::error::broken_pipe ||
+           ec == asio::error::operation_aborted;
+}
+
 void give(Session& s, Micros until) { s.stream.expires_at(at(until)); }
 
 std::vector<std::string> connection_names(const http::fields& f) {
@@ -59,18 +66,24 @@
     return false;
 }
 
-// A session that the server closed, or on which something lies unread, is not used again.
-std::unique_ptr<Session> Relay::idle(const Slot& s) {
+// Neither closed by the server nor with anything unread on it: bytes that lie there before a request is sent
+// belong to none.
+bool Relay::quiet(Session& s) const {
+    if (!rules.look_before_send) return true;
+    char c;
+    const auto n = ::recv(s.stream.socket().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && s.buf.size() == 0;
+}
+
+std::unique_ptr<Session> Relay::idle(const Slot& s, const std::string& try_id) {
     auto i = idle_.find(key(s));
     if (i == idle_.end()) return {};
     const Micros now = pith::mono_now();
     while (!i->second.empty()) {
         auto x = std::move(i->second.back());
         i->second.pop_back();
-        char c;
-        const auto n = ::recv(x->stream.socket().native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool quiet = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (quiet && x->buf.size() == 0 && now - x->idle_since < x->idle_for) return x;
+        const bool sent_before = rules.one_send_of_a_try && x->last_try == try_id;
+        if (!sent_before && now - x->idle_since < x->idle_for && quiet(*x)) return x;
     }
     return {};
 }
@@ -102,7 +115,7 @@
     p.body_limit(4096);
     http::async_read(x->stream, x->buf, p, y[ec]);
     ++hall_.tolls.proofs;
-    bool ok = !ec && p.get().result() == http::status::ok && p.get().keep_alive() && x->buf.size() == 0;
+    bool ok = !ec && p.get().result() == http::status::ok && p.get().keep_alive() && quiet(*x);
     if (ok) {
         const auto v = boost::json::parse(p.get().body(), ec);
         const auto* o = ec ? nullptr : v.if_object();
@@ -128,7 +141,8 @@
     return x;
 }
 
-// The client's request as this server is to see it: the key stays here, the customer's name goes in its place.
+// The client's request as this server is to see it: the key stays here, the customer's name goes in its
+// place.
 void Relay::fill(const Plan& p, const Slot& slot, const Visit& v, Micros left, Visit* q) const {
     const Dialect& d = hall_.dialect;
     q->method_string(v.method_string());
@@ -157,69 +171,110 @@
     boost::system::error_code ec;
     give(s, until);
     if (p.write) hall_.tries.sent(p.customer, p.try_id);  // before its first byte is handed over
+    Sent sent{p, false, s.sends == 0};
+    ++s.sends;
+    s.last_try = p.try_id;
     ++hall_.tolls.sends;
     http::async_write(s.stream, q, y[ec]);
-    if (ec) return ec == beast::error::timeout ? Step::late : Step::lost;
+    if (ec == beast::error::timeout) return Step::late;
+    if (ec == asio::error::operation_aborted) return Step::lost;  // given up
+    sent.whole = !ec;  // else the server may still have said something before it closed
+    return read_answer(s, sent, r, keep, y);
+}
+
+// Reads until the answer to this very request is there, whole.
+Step Relay::read_answer(Session& s, const Sent& sent, Reply* r, bool* keep, asio::yield_context y) {
+    const bool head_only = sent.plan.head_only;
     bool surplus = false;
-    for (int i = 0; i < 8; ++i) {
+    for (int i = 0; i < kMostAnswers; ++i) {
+        boost::system::error_code ec;
         http::response_parser<http::string_body> rp;
         rp.body_limit(kMaxAnswer);
-        rp.skip(p.head_only);
+        rp.skip(head_only);
         http::async_read(s.stream, s.buf, rp, y[ec]);
-        if (ec) {
-            if (ec == beast::error::timeout) return Step::late;
-            const bool cut = ec == http::error::end_of_stream || ec == http::error::partial_message ||
-                             ec == asio::error::connection_reset || ec == asio::error::eof ||
-                             ec == asio::error::broken_pipe || ec == asio::error::operation_aborted;
-            return cut ? Step::lost : Step::garbled;
-        }
+        if (ec == beast::error::timeout) return Step::late;
+        if (ec) return broken_off(ec) || !sent.whole ? Step::lost : Step::garbled;
         const int st = rp.get().result_int();
         if (st == 101) return Step::garbled;
-        if (st >= 100 && st < 200) continue;
-        const Dialect& d = hall_.dialect;
+        if (st >= 100 && st < 200 && rules.skip_interim) continue;
         // An answer whose end is only the session's end can't be told from a cut one.
-        const bool bodyless = p.head_only || st == 204 || st == 304;
-        if (!bodyless && !rp.chunked() && !rp.content_length()) return Step::garbled;
-        const auto& in = rp.get();
-        const auto echo = in.find(d.try_id);
-        const bool named = echo != in.end();
-        if (named && echo->value() != p.try_id && !d.expect.empty()) {
-            // A surplus answer to an earlier request, come late: ours is still to come (docs/design.md 7.6).
-            surplus = true;
+        const bool bodyless = head_only || st == 204 || st == 304;
+        const bool framed = bodyless || rp.chunked() || rp.content_length();
+        if (!framed && rules.need_length) return Step::garbled;
+        const bool lasting = rp.keep_alive();
+        const Reply in = rp.release();
+        const Owner o = owner(in, s, sent);
+        if (o == Owner::another_try) {
+            surplus = true;  // to an earlier request, come late: ours is still to come (docs/design.md 7.6)
             continue;
         }
-        const bool not_run = !d.not_run.empty() && in.find(d.not_run) != in.end();
-        const bool another = !d.expect.empty() && st == 421;
-        if (named ? echo->value() != p.try_id : s.echoes && !not_run && !another) return Step::garbled;
-        *keep = rp.keep_alive() && s.buf.size() == 0 && !surplus;
-        const Reply got = rp.release();
-        idle_time(got, &s);
-        if (another) {
-            *keep = false;
-            return Step::misdirected;
-        }
-        if (not_run) return Step::shed;
-        // A promise that only we could give, from one that did not give it (docs/design.md 7.4).
-        const bool promise = st == 408 || st == 421 || st == 429 || st == 503;
-        if (!d.not_run.empty() && promise) return Step::lost;
-        if (st < 300 && !d.seal.empty() && got.find(d.seal) == got.end()) return Step::garbled;
-        if (!d.strict && got.find(http::field::content_encoding) != got.end()) return Step::garbled;
-        if (!d.leaving.empty() && got.find(d.leaving) != got.end()) *keep = false;
-        *r = Reply{got.result(), 11};
-        r->reason(got.reason());
-        copy_fields(got, r);
-        r->body() = got.body();
-        if (bodyless) {
-            const auto cl = got.find(http::field::content_length);
-            if (cl != got.end() && p.head_only) r->set(http::field::content_length, cl->value());
-        } else {
-            r->content_length(r->body().size());
-        }
-        return Step::answered;
+        if (o == Owner::unclear) return sent.whole ? Step::garbled : Step::lost;
+        idle_time(in, &s);
+        const Step step = judge(in);
+        const bool clean = (s.buf.size() == 0 && !surplus) || !rules.close_after_surplus;
+        const bool sure = step == Step::answered || step == Step::shed || !rules.close_after_doubt;
+        const bool leaves = !hall_.dialect.leaving.empty() && in.find(hall_.dialect.leaving) != in.end();
+        const bool named_always = s.echoes || !rules.reuse_only_echoing;
+        *keep = lasting && sent.whole && clean && sure && !leaves && named_always;
+        if (step == Step::answered) hand_over(in, bodyless, head_only, r);
+        return step;
     }
     return Step::garbled;
 }
 
+bool Relay::says_not_run(const Reply& in) const {
+    const std::string& mark = hall_.dialect.not_run;
+    return !mark.empty() && in.find(mark) != in.end();
+}
+
+bool Relay::misdirected(const Reply& in) const {
+    return !hall_.dialect.expect.empty() && in.result_int() == 421;
+}
+
+// Whose answer it is, by the try that it names (docs/requests.md).
+Relay::Owner Relay::owner(const Reply& in, const Session& s, const Sent& sent) const {
+    const Dialect& d = hall_.dialect;
+    const auto named = in.equal_range(d.try_id);
+    if (named.first == named.second) {
+        if (!sent.whole) return Owner::unclear;
+        if (!s.echoes) return Owner::ours;
+        if (!says_not_run(in) && !misdirected(in)) return Owner::unclear;
+        // It may belong to an earlier request. That costs a read another send, but would let a write run
+        // twice.
+        return sent.first || !sent.plan.write || !rules.named_or_first ? Owner::ours : Owner::unclear;
+    }
+    if (!rules.match_try_id) return Owner::ours;
+    if (std::next(named.first) != named.second) return Owner::unclear;  // two names are none
+    if (named.first->value() == sent.plan.try_id) return Owner::ours;
+    return d.expect.empty() ? Owner::unclear : Owner::another_try;
+}
+
+// What our server's answer says of the request.
+Step Relay::judge(const Reply& in) const {
+    const Dialect& d = hall_.dialect;
+    if (misdirected(in)) return Step::misdirected;
+    if (says_not_run(in)) return Step::shed;
+    // A promise that only we could give, from one that did not give it (docs/design.md 7.4).
+    const int st = in.result_int();
+    const bool promise = st == 408 || st == 421 || st == 429 || st == 503;
+    if (!d.not_run.empty() && promise && rules.need_mark) return Step::lost;
+    if (st < 300 && !d.seal.empty() && in.find(d.seal) == in.end()) return Step::garbled;
+    if (!d.strict && in.find(http::field::content_encoding) != in.end()) return Step::garbled;
+    return Step::answered;
+}
+
+void Relay::hand_over(const Reply& in, bool bodyless, bool head_only, Reply* out) const {
+    *out = Reply{in.result(), 11};
+    out->reason(in.reason());
+    copy_fields(in, out);
+    out->body() = in.body();
+    const auto length = in.find(http::field::content_length);
+    if (!bodyless)
+        out->content_length(out->body().size());
+    else if (head_only && length != in.end())
+        out->set(http::field::content_length, length->value());
+}
+
 // Keep-Alive: timeout=5 tells how long the server leaves an idle session open; we let it go a second earlier.
 void Relay::idle_time(const Reply& in, Session* s) {
     const auto k = in.find(http::field::keep_alive);
@@ -227,7 +282,11 @@
     const std::string w(k->value());
     const auto at = w.find("timeout=");
     if (at == std::string::npos) return;
-    const Micros t = std::atoi(w.c_str() + at + 8) * pith::kSecond;
+    constexpr std::size_t kMostDigits = 6;
+    const std::size_t from = at + std::string("timeout=").size();
+    const std::string digits = w.substr(from, w.find_first_not_of("0123456789", from) - from);
+    if (digits.empty() || digits.size() > kMostDigits) return;
+    const Micros t = std::stoi(digits) * pith::kSecond;
     s->idle_for = std::min(kIdleFor, std::max<Micros>(0, t - pith::kSecond));
 }
 
@@ -242,8 +301,10 @@
 
 void Relay::carry(const Plan& p, const Visit& v, const More& more, const Allowed& allowed, Carried* c,
                   asio::yield_context y) {
-    Errand e(p, hall_.pool, [this, &p] { return p.customer.empty() || hall_.basin.draw(pith::mono_now(), p.customer); });
+    Errand e(p, hall_.pool,
+             [this, &p] { return p.customer.empty() || hall_.basin.draw(pith::mono_now(), p.customer); });
     e.allowed = allowed;
+    e.rules = rules;
     e.slot_free = [this](const std::string& s) { hall_.slot_free(s); };
     const Micros began = pith::mono_now();
     Do d = e.start(began);
@@ -265,7 +326,7 @@
         c->trace.server = s.address;
         c->trace.instance = s.instance;
         std::uint8_t verdict = 0;
-        auto x = idle(s);
+        auto x = idle(s, p.try_id);
         if (x)
             ++hall_.tolls.reused;
         else
@@ -319,7 +380,7 @@
 void Relay::sweep(Micros now) {
     for (auto i = idle_.begin(); i != idle_.end();) {
         const std::string& k = i->first;
-        const auto a = k.find(' '), b = k.rfind(' ');
+        const auto a = k.find(' '), b = k.find(' ', a + 1);  // only a service may hold one
         const bool stands =
             hall_.pool.stands(Slot{k.substr(0, a), k.substr(b + 1), k.substr(a + 1, b - a - 1)});
         auto& q = i->second;
--- a/packages/span/test/errand.cpp
+++ b/packages/span/test/errand.cpp
@@ -225,3 +225,40 @@
     t.not_run("c", "1");
     BOOST_TEST(t.begin(1, "c", "1"));
 }
+
+// The kind of a route changes while a request waits: a write stays one, and a read that became one comes
+// again.
+BOOST_AUTO_TEST_CASE(a_changed_kind_of_route_repeats_no_write) {
+    const auto policy = [](int number, const std::string& kind) {
+        const std::string text =
+            "{\"number\":" + std::to_string(number) +
+            R"(,"services":[{"name":"s"}],"routes":[{"name":"r","host":"h","prefix":"/s/","service":"s","kind":")" +
+            kind + R"(","timeout_ms":800}]})";
+        return std::make_shared<const creed::Policy>(creed::read_bundle(text, true).value());
+    };
+    Dialect dialect;
+    dialect.strict = false;
+    for (const bool was_write : {true, false}) {
+        creed::PolicyPtr now = policy(1, was_write ? "write" : "read");
+        tide::Basin basin{tide::Tuning{}};
+        Pool pool("p1", "a", PoolTuning{});
+        Tries tries;
+        Lobby lobby(
+            basin, pool, tries, [&now] { return now; }, dialect);
+        Entry e;
+        e.head = {"POST", "/s/1", "", "t", "500", "", "h"};
+        lobby.enter(0, 1, false, &e);
+        BOOST_REQUIRE(e.released);
+        BOOST_TEST(lobby.released(1, &e));
+        now = policy(2, was_write ? "read" : "write");
+        if (was_write) {
+            BOOST_TEST(lobby.released(2, &e));
+            BOOST_TEST(e.plan.write);
+            continue;
+        }
+        BOOST_TEST(!lobby.released(2, &e));
+        BOOST_TEST((e.refusal.error.kind == Kind::not_ready));
+        BOOST_TEST(!e.refusal.ran_unknown);
+        BOOST_TEST(e.refusal.retry_after > 0);
+    }
+}
--- a/packages/span/test/harm.cpp
+++ b/packages/span/test/harm.cpp
@@ -101,6 +101,23 @@
     BOOST_TEST(!read_listing(page("", R"(,"next":7)"), &v, &next));
 }
 
+// Names go into the fields of requests and tell services apart: none holds what can't be seen.
+BOOST_AUTO_TEST_CASE(names_in_a_listing_hold_visible_signs_only) {
+    const auto page = [](const std::string& service, const std::string& instance) {
+        return R"({"servers":[{"address":"10.0.0.9:80","service":")" + service + R"(","instance":")" +
+               instance + R"("}]})";
+    };
+    std::vector<weft::ServerRec> v;
+    std::string next;
+    BOOST_TEST(read_listing(page("bids desk", "i-7"), &v, &next));
+    BOOST_TEST(v[0].service == "bids desk");
+    for (const char* bad : {"", R"(bids\u0000x)", R"(bids\r\nX: y)", R"(bids\t)", R"(\u007f)"}) {
+        BOOST_TEST(!read_listing(page(bad, "i-7"), &v, &next), bad);
+        BOOST_TEST(!read_listing(page("bids", bad), &v, &next), bad);
+    }
+    BOOST_TEST(!read_listing(page("bids", "i 7"), &v, &next));
+}
+
 BOOST_AUTO_TEST_CASE(heads) {
     auto b = creed::read_bundle(kBundle);
     BOOST_REQUIRE(b.has_value());
--- a/packages/weft/include/weft/desk.hpp
+++ b/packages/weft/include/weft/desk.hpp
@@ -25,7 +25,8 @@
 class Desk {
   public:
     using Reply = std::function<void(Answer)>;
-    // Called on the io_context's thread; may reply later, once.
+    // Called on the io_context's thread; may reply later, once. A second reply, or one after the time was up,
+    // is dropped.
     using Handler = std::function<void(const Ask&, Reply)>;
 
     explicit Desk(boost::asio::io_context& io) : io_(io) {}
@@ -34,10 +35,13 @@
         h_[method + " " + path] = std::move(h);
     }
     void close();
+    // How long a handler may take; then the caller is told that the outcome is not known. Before open().
+    void reply_in(pith::Micros t) { reply_in_ = t; }
 
   private:
     struct Impl;
     boost::asio::io_context& io_;
+    pith::Micros reply_in_ = 10 * pith::kSecond;
     std::map<std::string, Handler> h_;
     std::shared_ptr<Impl> impl_;
 };
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -58,44 +58,97 @@
 bool get_brief(const Str& from, std::size_t i, BriefCount* c);  // the i-th, false where there is none
 
 
-// -- operator's word (docs/design.md 5)
-#define STAGE_ASK(F) F(U64, op) F(U64, number) F(Str, hash) F(Str, text)
-WEFT_STRUCT(StageAsk, STAGE_ASK)
-#define STAGE_SAID(F) F(U64, op) F(U64, number) F(U8, ok) F(Str, why) F(U64, commit)
-WEFT_STRUCT(StageSaid, STAGE_SAID)
-#define COMMIT_ASK(F) F(U64, op) F(U64, number) F(Str, hash) F(Str, text)
-WEFT_STRUCT(CommitAsk, COMMIT_ASK)
-#define COMMIT_SAID(F) F(U64, op) F(U64, number) F(U8, ok) F(Str, why)
-WEFT_STRUCT(CommitSaid, COMMIT_SAID)
-#define PROMISE_REC(F) F(U64, number) F(Str, hash)
-WEFT_STRUCT(PromiseRec, PROMISE_REC)
-#define STATE_ASK(F) F(U64, nonce) F(U64, commit)
+// -- control state (docs/control.md)
+// A ballot orders attempts to change the control state: by round, then by who proposed it. `life` is drawn anew at each
+// start of a process, so that no two attempts ever share a ballot. Round 0 is below every attempt.
+#define BALLOT(F) F(U64, round) F(Str, proposer) F(U64, life)
+WEFT_STRUCT(Ballot, BALLOT)
+// A voter is a node and the identity of its disk, which is made with the folder: an emptied disk is another voter.
+#define VOTER(F) F(Str, name) F(Str, disk) F(Str, address)
+WEFT_STRUCT(Voter, VOTER)
+// A number that was decided, with a fingerprint of its content.
+#define DECIDED_NUMBER(F) F(U64, number) F(U64, fingerprint)
+WEFT_STRUCT(DecidedNumber, DECIDED_NUMBER)
+// The replicated document, without the configuration's text, which `hash` names. While membership changes, `joining` is
+// the new set of voters and both sets must agree; otherwise it is empty. `lineage`: of the founding that all states follow. `target`: how many voters there should be.
+#define CONTROL_STATE(F)                                                             \
+    F(U64, lineage)                                                                  \
+    F(U64, revision)                                                                 \
+    F(U64, number)                                                                   \
+    F(Str, hash) F(std::vector<DecidedNumber>, recent) F(U64, epoch) F(U32, target)  \
+        F(std::vector<Voter>, voters) F(std::vector<Voter>, joining)
+WEFT_STRUCT(ControlState, CONTROL_STATE)
+// Asks for a promise to accept nothing below the ballot; with round 0 only for what was accepted.
+#define PREPARE_ASK(F) F(U64, serial) F(Ballot, ballot)
+WEFT_STRUCT(PrepareAsk, PREPARE_ASK)
+// What the sender's disk holds. `ok`: the promise was given (or none was asked for). `writable`: its disk takes writes.
+// `revision`: the newest decided one that the sender knows. `decided_epoch`: of the membership in it.
+#define PREPARE_SAID(F)                                                                     \
+    F(U64, serial)                                                                          \
+    F(U8, ok)                                                                               \
+    F(U8, writable) F(Str, disk) F(Ballot, promised) F(Ballot, accepted) F(ControlState, state) F(U64, revision)
+WEFT_STRUCT(PrepareSaid, PREPARE_SAID)
+// `packed`: the configuration's text, compressed against the content whose hash is `base` (empty: against none); empty
+// where the receiver is believed to hold it (docs/control.md).
+#define ACCEPT_ASK(F) F(U64, serial) F(Ballot, ballot) F(ControlState, state) F(Str, base) F(Str, packed)
+WEFT_STRUCT(AcceptAsk, ACCEPT_ASK)
+#define ACCEPT_SAID(F) F(U64, serial) F(U8, ok) F(U8, needs_content) F(Str, disk) F(Ballot, promised)
+WEFT_STRUCT(AcceptSaid, ACCEPT_SAID)
+// A decided state: who has accepted it under this ballot, or holds its content, knows it whole.
+#define DECIDED(F) F(Ballot, ballot) F(ControlState, state)
+WEFT_STRUCT(Decided, DECIDED)
+// A node tells the revision that it knows as decided; who knows a higher one answers with that state, and who knows less
+// asks in turn. Its content travels apart.
+#define STATE_ASK(F) F(U64, revision)
 WEFT_STRUCT(StateAsk, STATE_ASK)
-// From `founder` on (docs/design.md 5.7): the electorate, or the proposal of one, that the sender's disk
-// holds; whether it may take part in a first founding; proposals of its own that it withdrew; keepers it
-// knows of.
-#define ELECTOR_REC(F) F(Str, name) F(Str, address)
-WEFT_STRUCT(ElectorRec, ELECTOR_REC)
-#define STATE_SAID(F)                                                                                     \
-    F(U64, nonce)                                                                                         \
-    F(U8, voting)                                                                                         \
-    F(U8, empty) F(U64, commit) F(Str, hash) F(Str, text) F(std::vector<PromiseRec>, promises)            \
-        F(Str, founder) F(U64, proposal) F(std::vector<ElectorRec>, electors) F(U8, founded) F(U8, first) \
-            F(std::vector<U64>, withdrawn) F(std::vector<Str>, keepers)
+#define STATE_SAID(F) F(ControlState, state)
 WEFT_STRUCT(StateSaid, STATE_SAID)
-#define PROPOSE(F) F(U64, id) F(std::vector<ElectorRec>, electors)
-WEFT_STRUCT(Propose, PROPOSE)
+// The content of one hash, whether decided or not.
+#define CONTENT_ASK(F) F(Str, hash) F(Str, held)
+WEFT_STRUCT(ContentAsk, CONTENT_ASK)
+#define CONTENT_SAID(F) F(Str, hash) F(Str, base) F(Str, packed)
+WEFT_STRUCT(ContentSaid, CONTENT_SAID)
+// An operator's order, passed on to the node that proposes; `life` and `order` name it for the answer.
+#define ORDER_ASK(F) F(U64, life) F(U64, order) F(Str, packed)
+WEFT_STRUCT(OrderAsk, ORDER_ASK)
+// `outcome`: an OrderOutcome (consensus/control_register.hpp); `standing`: the number that is decided.
+#define ORDER_SAID(F) F(U64, life) F(U64, order) F(U8, outcome) F(U64, number) F(Str, hash) F(Str, why) F(U64, standing)
+WEFT_STRUCT(OrderSaid, ORDER_SAID)
+
+// -- the first start (docs/control.md): who the first voters are
+#define FOUNDING_ASK(F) F(U64, nonce)
+WEFT_STRUCT(FoundingAsk, FOUNDING_ASK)
+// The founded membership, or the proposal of one, that the sender's disk holds; whether it may take part in a first
+// founding; its disk; proposals of its own that it withdrew; control nodes that it knows of.
+#define FOUNDING_SAID(F)                                                                           \
+    F(U64, nonce)                                                                                  \
+    F(Str, founder)                                                                                \
+    F(U64, proposal) F(std::vector<Voter>, voters) F(U8, founded) F(U8, first) F(Str, disk)        \
+        F(std::vector<U64>, withdrawn) F(std::vector<Str>, nodes)
+WEFT_STRUCT(FoundingSaid, FOUNDING_SAID)
+#define FOUNDING_PROPOSAL(F) F(U64, id) F(std::vector<Voter>, voters)
+WEFT_STRUCT(FoundingProposal, FOUNDING_PROPOSAL)
 
 // -- the feed (docs/design.md 5.4)
-#define CHANGE_REC(F) F(U64, place) F(U8, kind) F(U64, number) F(Str, hash) F(Str, text)
+// A change of the feed. Of a bundle, `text` is its text compressed against the content whose hash is `base` (empty:
+// against none), and empty where the receiver holds it; of a mark it is the mark.
+#define CHANGE_REC(F) F(U64, place) F(U8, kind) F(U64, number) F(Str, hash) F(Str, text) F(Str, base)
 WEFT_STRUCT(ChangeRec, CHANGE_REC)
-#define FEED_ASK(F) F(U64, feed) F(U64, place) F(U64, commit)
+// `commit` and `hash`: the bundle that the asker holds. `confirm`: the answer is to be the newest that a majority of the
+// voters holds after the question came (docs/control.md); `nonce`, drawn at the asker's start, comes back with it, so that
+// no answer to an earlier life is taken.
+#define FEED_ASK(F) F(U64, feed) F(U64, place) F(U64, commit) F(Str, hash) F(U8, confirm) F(U64, nonce)
 WEFT_STRUCT(FeedAsk, FEED_ASK)
 #define FEED_SAID(F) \
     F(U64, feed)     \
     F(U64, place)    \
-    F(U8, digest) F(U64, commit) F(std::vector<ChangeRec>, changes) F(std::vector<ElectorRec>, electors)
+    F(U8, digest) F(U64, commit) F(std::vector<ChangeRec>, changes) F(U8, confirmed) F(U64, nonce)
 WEFT_STRUCT(FeedSaid, FEED_SAID)
+// Between proxies: the bundle that the receiver acts on, where that is above `commit`.
+#define BUNDLE_ASK(F) F(U64, commit) F(Str, hash)
+WEFT_STRUCT(BundleAsk, BUNDLE_ASK)
+#define BUNDLE_SAID(F) F(ChangeRec, bundle)
+WEFT_STRUCT(BundleSaid, BUNDLE_SAID)
 
 // -- servers (docs/design.md 7)
 // slots: requests that it works on at once (0: unsaid, two); cold_us: how much longer it stays slow after its
@@ -118,10 +171,28 @@
     X(1, Heartbeat)                                                                                 \
     X(2, News)                                                                                      \
     X(3, Counts)                                                                                    \
-    X(5, StageAsk)                                                                                  \
-    X(6, StageSaid)                                                                                 \
-    X(7, CommitAsk) X(8, CommitSaid) X(9, StateAsk) X(10, StateSaid) X(11, FeedAsk) X(12, FeedSaid) \
-        X(13, Listing) X(14, ListingAsk) X(15, Probes) X(16, Propose) X(17, Load)
+    X(11, FeedAsk)                                                                                  \
+    X(12, FeedSaid)                                                                                 \
+    X(13, Listing)                                                                                  \
+    X(14, ListingAsk)                                                                               \
+    X(15, Probes)                                                                                   \
+    X(17, Load)                                                                                     \
+    X(18, PrepareAsk)                                                                               \
+    X(19, PrepareSaid)                                                                              \
+    X(20, AcceptAsk)                                                                                \
+    X(21, AcceptSaid)                                                                               \
+    X(22, Decided)                                                                                  \
+    X(23, StateAsk)                                                                                 \
+    X(24, StateSaid)                                                                                \
+    X(25, ContentAsk)                                                                               \
+    X(26, ContentSaid)                                                                              \
+    X(27, OrderAsk)                                                                                 \
+    X(28, OrderSaid)                                                                                \
+    X(29, FoundingAsk)                                                                              \
+    X(30, FoundingSaid)                                                                             \
+    X(31, FoundingProposal)                                                                         \
+    X(32, BundleAsk)                                                                                \
+    X(33, BundleSaid)
 
 #define X(t, n) , n
 using Msg = std::variant<std::monostate WEFT_MESSAGES(X)>;
--- a/packages/weft/src/desk.cpp
+++ b/packages/weft/src/desk.cpp
@@ -1,9 +1,13 @@
 #include "weft/desk.hpp"
 
+#include <array>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/json.hpp>
+#include <optional>
+
+#include "pith/log.hpp"
 
 namespace weft {
 
@@ -17,7 +21,9 @@
 constexpr std::size_t kMaxAnswer = 8 * 1024 * 1024;
 constexpr std::size_t kMaxSessions = 64;
 constexpr auto kIdle = std::chrono::seconds(30);
-constexpr auto kReplyIn = std::chrono::seconds(10);
+constexpr auto kDrainFor = std::chrono::milliseconds(500);
+constexpr int kMostInterim = 8;
+constexpr const char* kComeBackIn = "1";  // seconds, where coming back can help
 }  // namespace
 
 tcp::endpoint endpoint(const std::string& address) {
@@ -41,7 +47,9 @@
     boost::json::object o;
     o["kind"] = pith::kind_text(e.kind);
     o["message"] = e.message;
-    return json_answer(pith::kind_status(e.kind), boost::json::serialize(o) + "\n");
+    Answer a = json_answer(pith::kind_status(e.kind), boost::json::serialize(o) + "\n");
+    if (pith::kind_returns(e.kind)) a.set(http::field::retry_after, kComeBackIn);
+    return a;
 }
 
 struct Desk::Impl : std::enable_shared_from_this<Desk::Impl> {
@@ -51,6 +59,7 @@
     std::map<std::string, Handler>& h_;
     std::size_t open = 0;
     bool closed = false;
+    std::chrono::microseconds reply_in{0};
 
     void accept(asio::yield_context y) {
         for (;;) {
@@ -85,49 +94,90 @@
             st.expires_after(kIdle);
             http::async_read(st, buf, p, y[ec]);
             if (ec) {
-                if (ec == http::error::body_limit || ec == http::error::header_limit) {
-                    Answer a = error_answer({Kind::too_large, "over 8 MiB: send less"});
-                    a.keep_alive(false);
-                    http::async_write(st, a, y[ec]);
-                }
-                return;
-            }
-            Ask q = p.release();
-            const std::string target(q.target());
-            const std::string path = target.substr(0, target.find('?'));
-            Answer a;
-            auto i = h_.find(std::string(q.method_string()) + " " + path);
-            if (i == h_.end()) {
-                a = error_answer({Kind::not_found, "no such operation here: see docs/api.md"});
-            } else {
-                auto got = std::make_shared<std::unique_ptr<Answer>>();
-                auto t = std::make_shared<asio::steady_timer>(io_, kReplyIn);
-                i->second(q, [got, t](Answer r) {
-                    if (*got) return;
-                    *got = std::make_unique<Answer>(std::move(r));
-                    t->cancel();
-                });
-                if (!*got) t->async_wait(y[ec]);
-                if (*got)
-                    a = std::move(**got);
-                else
-                    a = error_answer(
-                        {Kind::outcome_unknown, "no result in 10 s: ask for the status, then try again"});
+                Answer a;
+                if (!refusal_of(ec, &a)) return;
+                a.keep_alive(false);
+                st.expires_after(kIdle);
+                http::async_write(st, a, y[ec]);
+                break;
             }
+            const Ask q = p.release();
+            Answer a = answer_to(q, y);
             a.version(11);
             a.keep_alive(q.keep_alive());
             a.prepare_payload();
             st.expires_after(kIdle);
-            http::async_write(st, a, y[ec]);
+            http::response_serializer<http::string_body> sr(a);
+            if (q.method() == http::verb::head) {
+                sr.split(true);  // its body would be taken for the next answer
+                http::async_write_header(st, sr, y[ec]);
+            } else {
+                http::async_write(st, sr, y[ec]);
+            }
             if (ec || !q.keep_alive()) break;
         }
+        drain(st, y);
+    }
+
+    // Bytes that are no request, or too many of them. False: nobody is there to be answered.
+    static bool refusal_of(const boost::system::error_code& ec, Answer* a) {
+        if (ec == http::error::body_limit || ec == http::error::header_limit) {
+            *a = error_answer({Kind::too_large, "over 8 MiB: send less"});
+            return true;
+        }
+        const bool gone = ec == http::error::end_of_stream || ec == http::error::partial_message;
+        if (gone || ec.category() != boost::system::error_code(http::error::bad_method).category())
+            return false;
+        *a = error_answer(
+            {Kind::bad_visit, "not a sound HTTP/1.1 request (" + ec.message() + "): mend the caller"});
+        return true;
+    }
+
+    // The handler's answer. Each request has a place of its own for it: one that comes after the time was up,
+    // or a second time, finds nobody.
+    Answer answer_to(const Ask& q, asio::yield_context y) {
+        const std::string target(q.target());
+        const std::string path = target.substr(0, target.find('?'));
+        const std::string method(q.method() == http::verb::head ? "GET" : q.method_string());
+        const auto i = h_.find(method + " " + path);
+        if (i == h_.end()) return error_answer({Kind::not_found, "no such operation here: see docs/api.md"});
+        struct Pending {
+            asio::steady_timer timer;
+            std::optional<Answer> answer;
+            bool over = false;
+        };
+        auto pending = std::make_shared<Pending>(Pending{asio::steady_timer(io_, reply_in), {}, false});
+        try {
+            i->second(q, [pending](Answer r) {
+                if (pending->over || pending->answer) return;
+                pending->answer = std::move(r);
+                pending->timer.cancel();
+            });
+        } catch (const std::exception& e) {  // one request's fault is not the process's
+            pith::log_event(pith::Level::error, "operation_failed", {{"path", path}, {"why", e.what()}});
+            pending->over = true;
+            return error_answer({Kind::outcome_unknown, "the operation failed: ask for the status"});
+        }
+        boost::system::error_code ec;
+        if (!pending->answer) pending->timer.async_wait(y[ec]);
+        pending->over = true;
+        if (pending->answer) return std::move(*pending->answer);
+        return error_answer({Kind::outcome_unknown, "no result in time: ask for the status, then try again"});
+    }
+
+    // What the caller still sends is read for a moment, lest a reset eat our answer.
+    static void drain(beast::tcp_stream& st, asio::yield_context y) {
         boost::system::error_code ec;
         st.socket().shutdown(tcp::socket::shutdown_send, ec);
+        std::array<char, 16384> sink;
+        st.expires_after(kDrainFor);
+        while (!ec) st.async_read_some(asio::buffer(sink), y[ec]);
     }
 };
 
 pith::Result<std::string> Desk::open(const std::string& address) {
     impl_ = std::make_shared<Impl>(io_, h_);
+    impl_->reply_in = std::chrono::microseconds(reply_in_);
     const auto ep = endpoint(address);
     boost::system::error_code ec;
     impl_->acceptor.open(ep.protocol(), ec);
@@ -165,14 +215,27 @@
     if (q.find(http::field::host) == q.end()) q.set(http::field::host, address);
     q.keep_alive(false);
     q.prepare_payload();
-    http::async_write(st, q, y[ec]);
-    if (ec) return lost(ec);
+    boost::system::error_code unsent;
+    http::async_write(st, q, y[unsent]);
+    if (unsent == beast::error::timeout || unsent == asio::error::operation_aborted) return lost(unsent);
+    // Where the rest could not be sent the answer may be there all the same, as one that says that it is too
+    // large.
     beast::flat_buffer buf;
-    http::response_parser<http::string_body> p;
-    p.body_limit(kMaxAnswer);
-    http::async_read(st, buf, p, y[ec]);
-    if (ec) return lost(ec);
-    return p.release();
+    for (int i = 0; i < kMostInterim; ++i) {
+        http::response_parser<http::string_body> p;
+        p.body_limit(kMaxAnswer);
+        p.skip(q.method() == http::verb::head);
+        http::async_read(st, buf, p, y[ec]);
+        if (ec) return lost(unsent ? unsent : ec);
+        const int status = p.get().result_int();
+        if (status >= 100 && status < 200 && status != 101) continue;
+        // One that only ends with the connection may have been cut.
+        const bool bodyless = q.method() == http::verb::head || status == 204 || status == 304;
+        if (status == 101 || (!bodyless && !p.chunked() && !p.content_length()))
+            return lost(http::error::bad_content_length);
+        return p.release();
+    }
+    return lost(http::error::bad_status);
 }
 
 pith::Result<Answer> call_blocking(const std::string& address, Ask q, pith::Micros deadline) {
--- a/packages/weft/src/frame.cpp
+++ b/packages/weft/src/frame.cpp
@@ -9,7 +9,7 @@
 constexpr U32 kMagic = 0x4c44534dU;
 // Raised only by what an older process can't pass over; lower ones are refused then. New fields and new
 // messages need no new version (docs/design.md 3.2).
-constexpr U8 kVersion = 2;
+constexpr U8 kVersion = 3;
 constexpr std::size_t kTag = 16;
 
 struct Packer {
--- a/packages/weft/src/link.cpp
+++ b/packages/weft/src/link.cpp
@@ -127,7 +127,11 @@
 bool soft(const Msg& m) {
     return std::holds_alternative<Heartbeat>(m) || std::holds_alternative<Counts>(m) ||
            std::holds_alternative<Probes>(m) || std::holds_alternative<Load>(m) || std::holds_alternative<FeedAsk>(m) ||
-           std::holds_alternative<StateAsk>(m) || std::holds_alternative<ListingAsk>(m);
+           std::holds_alternative<StateAsk>(m) || std::holds_alternative<ListingAsk>(m) ||
+           std::holds_alternative<PrepareAsk>(m) || std::holds_alternative<PrepareSaid>(m) ||
+           std::holds_alternative<AcceptSaid>(m) || std::holds_alternative<FoundingAsk>(m) ||
+           std::holds_alternative<Decided>(m) || std::holds_alternative<BundleAsk>(m) ||
+           std::holds_alternative<ContentAsk>(m);
 }
 
 }  // namespace
