--- a/packages/consensus/src/control_look.cpp
+++ b/packages/consensus/src/control_look.cpp
@@ -81,7 +81,8 @@
         return;
     }
     if (look_.serial != 0 && now >= look_.until) look_ = Look{};
-    if (look_.serial != 0 && look_.start.epoch != decided_.epoch) {  // those that it asks may be gone for good
+    if (look_.serial != 0 &&
+        look_.start.epoch != decided_.epoch) {  // those that it asks may be gone for good
         begin_look(now);
         return;
     }
--- a/packages/consensus/src/control_register.cpp
+++ b/packages/consensus/src/control_register.cpp
@@ -229,8 +229,7 @@
 }
 
 void ControlRegister::answer_state(const std::string& from, const weft::StateAsk& ask) {
-    if (known_ && ask.revision > decided_.revision)
-        send(from, weft::StateAsk{decided_.revision});
+    if (known_ && ask.revision > decided_.revision) send(from, weft::StateAsk{decided_.revision});
     if (!known_ || decided_.revision <= ask.revision) return;
     send(from, weft::StateSaid{decided_});
 }
