--- a/packages/knell/include/knell/knell.hpp
+++ b/packages/knell/include/knell/knell.hpp
@@ -34,6 +34,7 @@
     pith::Micros heard = -pith::kNever;  // last word from itself, monotonic, ours
     pith::Micros since = 0;              // when its state was last changed here
     Freight freight;
+    std::uint64_t print = 0;  // hash of what the record says of its state, for table()
 };
 
 class Knell {
@@ -56,8 +57,9 @@
     std::uint64_t table() const;
 
     // Duties: is it ours now, under which epoch; what others claim (docs/design.md 4.4).
-    // `hosts`: only members at one of these IP numbers are asked to do it.
-    bool mine(const std::string& duty, const std::string& role, const std::set<std::string>* hosts = nullptr) const;
+    bool mine(const std::string& duty, const std::string& role) const;
+    // Who is to do it, the first first: the live members of a role, this one too if it is live.
+    std::vector<weft::MemberRec> order(const std::string& duty, const std::string& role) const;
     const std::string& locality() const { return c_.locality; }
     std::uint64_t take(const std::string& duty);  // a new epoch above all heard
     bool holds(const std::string& duty) const;
@@ -66,6 +68,7 @@
 
   private:
     weft::MemberRec self() const;
+    static std::uint64_t print(const weft::MemberRec& r);
     std::vector<const Member*> watchers() const;
     void merge(pith::Micros now, const weft::MemberRec& r, std::vector<weft::MemberRec>* news,
                weft::Out* out);
--- a/packages/knell/src/knell.cpp
+++ b/packages/knell/src/knell.cpp
@@ -45,13 +45,14 @@
     return i == m_.end() ? std::string() : i->second.rec.address;
 }
 
+std::uint64_t Knell::print(const MemberRec& r) {
+    return pith::hash64(r.name + '/' + std::to_string(r.inc) + '/' + std::to_string(r.version) + '/' +
+                        std::to_string(r.state));
+}
+
 std::uint64_t Knell::table() const {
-    auto one = [](const MemberRec& r) {
-        return pith::hash64(r.name + '/' + std::to_string(r.inc) + '/' + std::to_string(r.version) + '/' +
-                            std::to_string(r.state));
-    };
-    std::uint64_t h = one(self());
-    for (const auto& p : m_) h ^= one(p.second.rec);
+    std::uint64_t h = print(self());
+    for (const auto& p : m_) h ^= p.second.print;
     return h;
 }
 
@@ -106,6 +107,7 @@
         if (m_.size() >= kMaxMembers) return;
         Member m;
         m.rec = r;
+        m.print = print(r);
         m.heard = now;  // a grace before we judge it ourselves
         m.since = now;
         m_.emplace(r.name, m);
@@ -123,6 +125,7 @@
             i->second.heard = now;
         if (i->second.rec.inc != r.inc) i->second.freight = Freight{};
         i->second.rec = r;
+        i->second.print = print(r);
         i->second.since = now;
         news->push_back(r);
     }
@@ -240,6 +243,7 @@
         }
         m.rec.state = kDown;
         ++m.rec.version;
+        m.print = print(m.rec);
         m.since = now;
         news.push_back(m.rec);
     }
@@ -274,17 +278,29 @@
     spread({self()}, out, true);
 }
 
-bool Knell::mine(const std::string& duty, const std::string& role, const std::set<std::string>* hosts) const {
-    const auto fit = [hosts](const std::string& a) {
-        return hosts == nullptr || hosts->count(a.substr(0, a.rfind(':'))) != 0;
-    };
-    if (state_ != kLive || !fit(c_.address)) return false;
-    const std::uint64_t me = pith::hash64(duty + '@' + c_.name);
+namespace {
+std::uint64_t place(const std::string& duty, const std::string& name) { return pith::hash64(duty + '@' + name); }
+}  // namespace
+
+bool Knell::mine(const std::string& duty, const std::string& role) const {
+    if (state_ != kLive) return false;
+    const std::uint64_t me = place(duty, c_.name);
     for (const auto* m : live(role))
-        if (m->rec.state == kLive && fit(m->rec.address) && pith::hash64(duty + '@' + m->rec.name) < me) return false;
+        if (m->rec.state == kLive && place(duty, m->rec.name) < me) return false;
     return true;
 }
 
+std::vector<MemberRec> Knell::order(const std::string& duty, const std::string& role) const {
+    std::vector<MemberRec> v;
+    if (state_ == kLive && c_.role == role) v.push_back(self());
+    for (const auto* m : live(role))
+        if (m->rec.state == kLive) v.push_back(m->rec);
+    std::sort(v.begin(), v.end(), [&duty](const MemberRec& a, const MemberRec& b) {
+        return place(duty, a.name) < place(duty, b.name);
+    });
+    return v;
+}
+
 std::uint64_t Knell::take(const std::string& duty) {
     auto& r = epochs_[duty];
     r.duty = duty;
--- a/packages/loom/include/loom/checks.hpp
+++ b/packages/loom/include/loom/checks.hpp
@@ -55,7 +55,7 @@
     // A keeper's disk holds these as the founded electorate.
     void elected(Micros t, const std::string& keeper, const std::set<std::string>& members);
     const std::set<std::string>& electorate() const { return electorate_; }
-    void to_leaving(Micros t, Micros known_since);
+    void to_leaving(Micros t, Micros known_since, const std::string& node = "");
     void fail(const std::string& rule, const std::string& what);
 
     // At the end.
@@ -77,6 +77,7 @@
         Micros ref99 = 0;
     };
     Sums sums() const;
+    Micros latest_to_leaving = 0;  // the latest send to a server after the listing showed that it leaves
     std::map<std::string, std::uint64_t> refusals;  // all, by kind
     std::map<std::string, std::uint64_t> wrongful;  // proper ones, by kind and standing
     std::uint64_t highest_acked = 0;
--- a/packages/loom/include/loom/scenario.hpp
+++ b/packages/loom/include/loom/scenario.hpp
@@ -15,6 +15,7 @@
     std::map<std::string, std::uint64_t> refusals, wrongful;
     std::map<std::string, double> worst_by;
     std::uint64_t counts = 0, count_bytes = 0;  // frames of counts between proxies
+    Micros latest_to_leaving = 0;  // a send to a server that the platform's listing showed as leaving, at the latest
     std::uint64_t frames = 0, probes = 0, sessions = 0, listings = 0, acked = 0;
     std::string line() const;  // one line; the same seed gives the same line
 };
--- a/packages/loom/include/loom/world.hpp
+++ b/packages/loom/include/loom/world.hpp
@@ -41,6 +41,7 @@
     Micros link = 2 * pith::kMilli, jitter = 6 * pith::kMilli;
     double small_service = 0;     // traffic of the last service, where it is not an equal part
     std::set<std::string> older;  // nodes of a version whose Counts had neither `silent` nor `well`
+    bool servers_say_leaving = true;  // in probes and answers; else only the platform's listing shows it
     double over = 0;              // the operators' tolerance: tide::Tuning
     bool discovered = false;  // no keepers are listed (docs/control.md); seeds are the first three proxies
     int spares = 0;           // keepers beyond those, started later, with first_start off
@@ -146,8 +147,14 @@
     void server_crash(std::size_t i);
     void server_replace(std::size_t i, const std::string& service);  // new instance on that address
     void server_leave(std::size_t i);                                // says so, the listing follows
-    void platform(Micros lag, bool fails) { list_lag_ = lag, list_fails_ = fails; }
-    void listing(const std::string& how) { list_how_ = how; }  // "", "empty", "twice": an address named twice
+    void platform(Micros lag, bool fails) {
+        list_lag_ = lag, list_fails_ = fails;
+        platform_changed_ = now_;
+    }
+    void listing(const std::string& how) {  // "", "empty", "twice": an address named twice
+        list_how_ = how;
+        platform_changed_ = now_;
+    }
 
     // Operators
     // Both return the number of the call, from 1 on.
@@ -170,8 +177,11 @@
     bool runs_well(const std::string& node) const;
     bool linked(const std::string& a, const std::string& b) const;  // both ways
     bool takes_callers(const std::string& proxy) const;             // as the proxy itself says
+    // Up, awake and linked to all, and so for a while.
+    bool in_touch(const std::string& node) const;
 
     std::vector<std::string> names(const std::string& role) const;
+    std::string poller() const;  // who asks the platform, by its own reckoning
     bool up(const std::string& n) const;
     Checks checks;
     std::uint64_t frames = 0, count_frames = 0, count_bytes = 0, probes = 0, sessions = 0, listings = 0;
@@ -235,6 +245,8 @@
     void write(const std::string& name, const consensus::DurableState& next);
     void note_decided(Node& n);
     void take_answer(const std::string& node, const consensus::Answer& answer);
+    bool says_leaving(const Server& s) const;
+    void judge_leaving(const Node& n, const Server& s);
     void judge_acknowledged(std::uint64_t number, const std::string& hash);
     std::size_t copies(const std::vector<weft::Voter>& voters, std::uint64_t number,
                        const std::string& hash) const;
@@ -267,6 +279,8 @@
     std::vector<std::unique_ptr<Server>> s_;
     double loss_ = 0, twice_ = 0;
     Micros extra_ = 0, list_lag_ = 0;
+    Micros platform_changed_ = -pith::kNever;   // what it says, or whether it answers
+    std::map<std::string, Micros> troubled_;    // when a node was last started, frozen, cut off or linked again
     bool list_fails_ = false;
     std::string list_how_;
     std::map<std::string, Trap> trap_;
--- a/packages/loom/src/checks.cpp
+++ b/packages/loom/src/checks.cpp
@@ -142,9 +142,10 @@
                                     " ms, " + text(electorate_) + " was founded before");
 }
 
-void Checks::to_leaving(Micros t, Micros known_since) {
+void Checks::to_leaving(Micros t, Micros known_since, const std::string& node) {
     if (t - known_since > 2 * kSecond)
-        fail("sent_to_leaving", std::to_string((t - known_since) / 1000) + " ms after it was known to leave");
+        fail("sent_to_leaving", std::to_string((t - known_since) / 1000) + " ms after it was known to leave" +
+                                    (node.empty() ? "" : ", by " + node + " at " + std::to_string(t / 1000) + " ms"));
 }
 
 // A word is in force from the first node that acts on it until 2.1 s after a higher one was acknowledged;
--- a/packages/loom/src/scenario.cpp
+++ b/packages/loom/src/scenario.cpp
@@ -174,6 +174,29 @@
     }
 }
 
+// One of the machines with a disk is cut off from the others that have one, again and again, and from nobody else: hearing
+// is not transitive. Both ways, or one way.
+void core_cut(Cast& c) {
+    constexpr Micros kEach = 8 * kSecond, kFor = 5500 * kMilli;
+    for (Micros t = kFrom + 8 * kSecond; t + kFor < kQuiet; t += kEach) {
+        const auto one = c.r.below(c.kp.size());
+        const bool hears = c.r.below(3) == 0;
+        const auto core = c.kp.size();
+        auto set = [&w = c.w, px = c.px, kp = c.kp, one, hears, core](bool on) {
+            for (std::size_t other = 0; other < core; ++other) {
+                if (other == one) continue;
+                for (const auto& a : {px[one], kp[one]})
+                    for (const auto& b : {px[other], kp[other]}) {
+                        w.cut(a, b, on);
+                        if (!hears) w.cut(b, a, on);
+                    }
+            }
+        };
+        c.w.at(t, [set] { set(true); });
+        c.w.at(t + kFor, [set] { set(false); });
+    }
+}
+
 void group_cut(Cast& c) {
     // A locality hears all but is not heard, then the contrary; then links that flap.
     std::vector<std::string> in, out;
@@ -324,6 +347,36 @@
     }
 }
 
+// Servers leave one after the other while whoever asks the platform is killed, frozen or cut off, at any point of its
+// period (docs/design.md 7.2).
+void dying_pollers(Cast& c) {
+    constexpr Micros kEach = 2600 * kMilli, kFor = 3 * kSecond;
+    for (int i = 0; i < c.d.servers; ++i) {
+        const std::size_t server = static_cast<std::size_t>(i);
+        const Micros t = kFrom + static_cast<Micros>(i) * 700 * kMilli;
+        c.w.at(t, [&w = c.w, server] { w.server_leave(server); });
+        c.w.at(t + 4 * kSecond, [&w = c.w, server] { w.server_replace(server, ""); });
+    }
+    std::uint64_t how = c.seed;
+    for (Micros t = kFrom; t < kQuiet - 8 * kSecond; t += kEach) {
+        const Micros at = t + static_cast<Micros>(c.r.below(20)) * 50 * kMilli;
+        ++how;
+        c.w.at(at, [&w = c.w, how] {
+            const auto node = w.poller();
+            if (node.empty()) return;
+            if (how % 3 == 0) {
+                w.kill(node);
+                w.at(w.now() + kFor, [&w, node] { w.restart(node); });
+            } else if (how % 3 == 1) {
+                w.freeze(node, kFor);
+            } else {
+                w.isolate(node, true);
+                w.at(w.now() + kFor, [&w, node] { w.isolate(node, false); });
+            }
+        });
+    }
+}
+
 void lost_answers(Cast& c) {
     for (int i = 0; i < 8; ++i) {
         const std::size_t s = c.server();
@@ -426,10 +479,12 @@
                         {"freeze_most", freeze_most, {70, 764}, true},
                         {"split", split, {6, 66}, true},
                         {"group_cut", group_cut, {7, 221}, true},
+                        {"core_cut", core_cut, {6, 66}, true},
                         {"lag", lag, {7, 4}, true},
                         {"stale_words", stale_words, {41, 7}, true},
                         {"servers", servers, {6, 4}, true},
                         {"wave", wave, {4, 4}, true},
+                        {"dying_pollers", dying_pollers, {40, 60}, true},
                         {"service_gone", service_gone, {944, 4}, true},
                         {"listings", listings, {4, 4}, true},
                         {"pile_up", pile_up, {1569, 4}, true},
@@ -503,6 +558,7 @@
             d.customers[i].allowance = d.customers[i].rate / level[i % 8];
     }
     if (has("stops")) d.read_ms = d.write_ms = 8000, d.deadline_ms = 9000;
+    if (has("dying_pollers")) d.servers_say_leaving = false;
     if (has("small_storm")) d.small_service = 0.1;
     if (has("two_versions"))
         for (int i = 1; i <= d.proxies; i += 2) d.older.insert("p" + std::to_string(i));
@@ -591,6 +647,7 @@
     x.sessions = w.sessions;
     x.listings = w.listings;
     x.acked = w.checks.highest_acked;
+    x.latest_to_leaving = w.checks.latest_to_leaving;
     return x;
 }
 
@@ -614,6 +671,7 @@
          "ms perfect_refused=" + std::to_string(sums.ref_refused);
     s += " counts=" + std::to_string(counts) + " count_bytes=" + std::to_string(count_bytes);
     if (sums.least_room < 1e8) s += " room=" + std::to_string(static_cast<long>(sums.least_room));
+    if (latest_to_leaving > 0) s += " latest_to_leaving=" + std::to_string(latest_to_leaving / 1000) + "ms";
     if (sums.unserved > 0) s += " unserved=" + std::to_string(sums.unserved);
     for (const auto& p : wrongful) s += " wrongful:" + p.first + "=" + std::to_string(p.second);
     for (const auto& f : faults) {
--- a/packages/loom/src/world_network.cpp
+++ b/packages/loom/src/world_network.cpp
@@ -13,6 +13,7 @@
 }  // namespace
 
 void World::cut(const std::string& a, const std::string& b, bool on) {
+    troubled_[a] = troubled_[b] = now_;
     if (on)
         cut_.insert({a, b});
     else
--- a/packages/loom/src/world_nodes.cpp
+++ b/packages/loom/src/world_nodes.cpp
@@ -117,13 +117,37 @@
 }
 
 void World::restart(const std::string& name) {
-    if (!up(name)) boot(name);
+    if (up(name)) return;
+    troubled_[name] = now_;
+    boot(name);
+}
+
+bool World::in_touch(const std::string& node) const {
+    constexpr Micros kContact = 3 * pith::kSecond;
+    if (!runs_well(node)) return false;
+    const auto troubled = troubled_.find(node);
+    if (troubled != troubled_.end() && now_ - troubled->second < kContact) return false;
+    const auto keepers = names("keeper");
+    return std::all_of(keepers.begin(), keepers.end(), [this, &node, &keepers](const std::string& keeper) {
+        const auto reached = std::count_if(keepers.begin(), keepers.end(), [this, &keeper](const std::string& other) {
+            return runs_well(other) && (other == keeper || linked(keeper, other));
+        });
+        const bool with_most = runs_well(keeper) && 2 * static_cast<std::size_t>(reached) > keepers.size();
+        return !with_most || linked(node, keeper);
+    });
+}
+
+std::string World::poller() const {
+    for (const auto& name : names("proxy"))
+        if (up(name) && n_.at(name)->core->knell().mine("listing", "proxy")) return name;
+    return {};
 }
 
 void World::freeze(const std::string& name, Micros d) {
     if (!up(name)) return;
     Node& n = *n_[name];
     n.frozen_until = std::max(n.frozen_until, now_ + d);
+    troubled_[name] = n.frozen_until;
     n.froze_at = now_;
     const auto life = n.life;
     at(n.frozen_until, [this, name, life] {
--- a/packages/loom/src/world_proxies.cpp
+++ b/packages/loom/src/world_proxies.cpp
@@ -53,7 +53,7 @@
                     for (const auto& s : s_)
                         if (s->address == p.address && s->up && s->instance == p.instance &&
                             s->service == p.service)
-                            verdict = s->leaving && !breaks_.ignore_leaving ? 2 : 0;
+                            verdict = says_leaving(*s) ? 2 : 0;
                     if (verdict == 2)
                         for (const auto& s : s_)
                             if (s->address == p.address && s->known_at == 0) s->known_at = now_;
--- a/packages/loom/src/world_requests.cpp
+++ b/packages/loom/src/world_requests.cpp
@@ -270,7 +270,7 @@
                 at < s_.size() &&
                 (breaks_.trust_address || (s_[at]->service == s.service && s_[at]->instance == s.instance));
             if (same && s_[at]->up && s_[at]->life == slife)
-                verdict = s_[at]->leaving && !breaks_.ignore_leaving ? 2 : 0;
+                verdict = says_leaving(*s_[at]) ? 2 : 0;
             if (verdict == 2) {
                 m.pool->leaving(s.address, s.instance);
                 if (s_[at]->known_at == 0) s_[at]->known_at = now_;
@@ -292,12 +292,11 @@
     checks.handed(now_, n.name, n.core->policy()->bundle().hash, v->customer, v->service,
                   v->attempt > 1 || v->errand->sends() > 1);
     if (v->proper && v->attempt == 1 && v->errand->sends() == 1) checks.waited(now_ - v->born);
-    if (s_[at]->leaving && s_[at]->known_at > 0) checks.to_leaving(now_, s_[at]->known_at);
+    judge_leaving(n, *s_[at]);
     auto back = [this, name, life, v, ex, at, s](span::Step st, int status, std::uint64_t slife) {
         on_node(name, life, [this, v, ex, at, s, st, status, slife](Node& m) {
             if (v->exchange != ex || v->replied) return;
-            if (st == span::Step::answered && s_[at]->life == slife && s_[at]->leaving &&
-                !breaks_.ignore_leaving) {
+            if (st == span::Step::answered && s_[at]->life == slife && says_leaving(*s_[at])) {
                 m.pool->leaving(s.address, s.instance);
                 if (s_[at]->known_at == 0) s_[at]->known_at = now_;
             }
--- a/packages/loom/src/world_servers.cpp
+++ b/packages/loom/src/world_servers.cpp
@@ -91,7 +91,7 @@
     server_crash(i);
     s.up = true;
     s.leaving = false;
-    s.known_at = 0;
+    s.known_at = s.shown_at = 0;
     s.service = service.empty() ? s.service : service;
     s.instance = "i" + std::to_string(i + 1) + "-" + std::to_string(s.life);
     s.mode = "well";
@@ -99,8 +99,24 @@
     listings_.emplace_back(now_, listed());
 }
 
+bool World::says_leaving(const Server& s) const {
+    return s.leaving && d_.servers_say_leaving && !breaks_.ignore_leaving;
+}
+
+// From when the platform's listing shows that it leaves a machine in touch has 2 s, while the platform is as it should be.
+void World::judge_leaving(const Node& n, const Server& s) {
+    if (!s.leaving) return;
+    // Where servers say so themselves also a machine that just woke or is cut off knows it in time.
+    if (s.known_at > 0 && d_.servers_say_leaving) checks.to_leaving(now_, s.known_at);
+    if (s.shown_at == 0 || list_fails_ || !list_how_.empty() || !in_touch(n.name)) return;
+    const Micros since = std::max(s.shown_at, platform_changed_ + list_lag_);
+    checks.to_leaving(now_, since, n.name);
+    checks.latest_to_leaving = std::max(checks.latest_to_leaving, now_ - since);
+}
+
 void World::server_leave(std::size_t i) {
     s_[i]->leaving = true;
+    s_[i]->shown_at = now_ + list_lag_;
     if (breaks_.ignore_leaving) s_[i]->known_at = now_;
     listings_.emplace_back(now_, listed());
 }
--- a/packages/loom/src/world_types.hpp
+++ b/packages/loom/src/world_types.hpp
@@ -68,6 +68,7 @@
     std::uint64_t life = 1;
     bool up = true, leaving = false, listed = true;
     Micros work = 0, known_at = 0;  // known_at: when any node first heard that it leaves
+    Micros shown_at = 0;            // when the platform's listing first showed it
     int busy = 0;
     std::deque<std::pair<VisitPtr, std::function<void(int)>>> line;
 };
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -10,6 +10,9 @@
 #include "consensus/feed.hpp"
 #include "creed/bundle.hpp"
 #include "knell/knell.hpp"
+#include "span/counts_relay.hpp"
+#include "span/listing_duty.hpp"
+#include "span/peer_sight.hpp"
 #include "span/pool.hpp"
 #include "tide/basin.hpp"
 #include "tide/worst.hpp"
@@ -38,9 +41,10 @@
     pith::Micros stall = 1000 * pith::kMilli;   // between two ticks of ours: we stood still
     pith::Micros wake = 300 * pith::kMilli;     // then we keep to our share so long
     pith::Micros permit = 900 * pith::kMilli;   // without a majority in sight, and then the floor
-    pith::Micros list_every = pith::kSecond;
-    // In a large fleet a listing takes long to read and to reach all; what leaves is to be known within 2 s all the same.
-    pith::Micros list_every_large = 600 * pith::kMilli;
+    ListingDuty::Tuning listing{};
+    CountsRelay::Tuning relay{};
+    // A proxy that was silent for so many keep-alives is asked for of others (docs/design.md 6.5).
+    double relay_after = 1.25;
     pith::Micros probe_every = 3 * pith::kSecond;  // a server that nobody's visit showed to live
     pith::Micros well_every = pith::kSecond;
     tide::Tally::Times tally{150 * pith::kMilli, 1200 * pith::kMilli, 2200 * pith::kMilli};
@@ -74,7 +78,7 @@
     bool ready() const { return started() && !lonely_; }
     bool started() const {
         return follower_.ready() && policy_ != nullptr && policy_->number() >= follower_.confirmed_number() &&
-               listing_.epoch != 0;
+               listing_.known();
     }
     // Somebody acts on, or decided, a higher bundle than we act on: what we would refuse by ours may be
     // allowed by now. Each number counts for `behind_most` after it was first heard, so that a false one
@@ -108,7 +112,11 @@
     void counts(pith::Micros now, const std::vector<tide::Count>& v, Todo* d);
     void cadence();  // of words, and of what follows from it
     void world(pith::Micros now);
-    bool lister() const;
+    void hear_counts(pith::Micros now, const weft::Envelope& e, const weft::Counts& said, Todo* d);
+    void hear_relayed(pith::Micros now, const weft::RelayedCounts& relayed);
+    void answer_relay_ask(pith::Micros now, const std::string& from, const weft::RelayAsk& ask, Todo* d);
+    void ask_for_missed(pith::Micros now, Todo* d);
+    void tell_load(pith::Micros now, Todo* d);
     void spread(const weft::Msg& m, Todo* d, bool keepers_too);
     std::map<std::string, std::string> control_nodes() const;  // that live, by name, with their addresses
 
@@ -123,20 +131,19 @@
     consensus::ContentStore contents_{2};  // texts of that and of the one before: bases of differences
     // Higher numbers that were heard of, and since when (docs/control.md, "Serving").
     std::map<std::uint64_t, pith::Micros> higher_;
-    weft::Listing listing_;
-    bool listing_busy_ = false;
-    pith::Micros next_list_ = 0, next_probe_ = 0, next_counts_ = 0, next_spread_ = 0,
-                 well_told_ = -pith::kNever;
+    ListingDuty listing_;
+    PeerSight sight_;
+    CountsRelay counts_relay_;
+    pith::Micros next_probe_ = 0, next_counts_ = 0, well_told_ = -pith::kNever;
     pith::Micros last_counts_ = -pith::kNever, whole_until_ = -pith::kNever, ticked_ = pith::kNever,
                  settled_ = pith::kNever;
-    pith::Micros list_backoff_ = 0;
     struct Told {
         std::uint64_t released = 0;
         std::uint32_t queued = 0;
         pith::Micros at = 0;
     };
     std::map<std::string, Told> told_;
-    pith::Micros keep_ = 0, in_sight_ = 0;  // between keep-alives; a proxy heard within it is in sight
+    pith::Micros keep_ = 0;  // between keep-alives
     std::size_t fleet_ = 1;
     std::set<std::string> met_;  // peers just heard of, to be told of every customer
     bool all_next_ = true;       // partners that are new need a baseline of every customer
@@ -151,10 +158,7 @@
     std::uint64_t counts_seq_ = 0, refused_ = 0;
     tide::Standing standing_ = tide::Standing::floor;
     bool lonely_ = false, quiet_ = false;
-    std::map<std::string, pith::Micros> deaf_;  // who said that it does not hear us, and when
     std::vector<std::string> silent_;           // as told last
-    std::vector<std::string> silent(pith::Micros now) const;
-    bool in_sight(const knell::Member& m, pith::Micros now) const;
 };
 
 }  // namespace span
--- a/packages/span/include/span/pool.hpp
+++ b/packages/span/include/span/pool.hpp
@@ -160,6 +160,7 @@
     std::set<std::string> gone_;  // instances that said they leave; the oldest are forgotten past kMaxGone
     std::deque<std::string> gone_order_;
     std::uint64_t epoch_ = 0, version_ = 0;      // control shard only
+    std::string holder_;                         // of the listing, likewise
     std::map<std::string, Peer> peers_;          // control shard only
     std::atomic<std::size_t> nodes_{kFewNodes};  // most that were known in this life
 };
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -10,7 +10,7 @@
 using pith::Micros;
 
 namespace {
-constexpr Micros kMostBackoff = 20 * pith::kSecond;
+constexpr Micros kRecentWord = 3 * pith::kSecond;  // what a peer said of a customer since then is passed on
 constexpr std::size_t kMostHigher = 64;  // numbers above ours that are kept in mind
 }  // namespace
 
@@ -20,7 +20,9 @@
       t_(t),
       basin_(basin),
       pool_(pool),
-      tally_(t.tally) {
+      tally_(t.tally),
+      listing_(t.listing, &knell_, pool),
+      counts_relay_(t.relay) {
     cadence();
 }
 
@@ -87,31 +89,16 @@
     return until;
 }
 
-// Both ways: it is heard, and does not say that it fails to hear us.
-bool ProxyCore::in_sight(const knell::Member& m, Micros now) const {
-    if (m.rec.role != "proxy") return m.rec.state <= knell::kDraining && now - m.heard <= t_.keeper_in_sight;
-    if (!tally_.heard_since(m.rec.name, now - in_sight_)) return false;
-    const auto d = deaf_.find(m.rec.name);
-    return d == deaf_.end() || now - d->second > in_sight_;
-}
-
-std::vector<std::string> ProxyCore::silent(Micros now) const {
-    std::vector<std::string> v;
-    for (const auto* m : knell_.live("proxy"))
-        if (!tally_.heard_since(m->rec.name, now - in_sight_)) v.push_back(m->rec.name);
-    return v;
-}
-
 // Without a tolerance words come each 100 ms where anything changed. With one, a keep-alive each 400 ms
 // (longer in a large fleet) is all that is certain, and silence is judged by that (docs/design.md 6.5).
 void ProxyCore::cadence() {
     keep_ = t_.counts_slow;
-    in_sight_ = t_.in_sight;
+    sight_.windows(t_.in_sight, t_.keeper_in_sight);
     if (!basin_->tolerant()) return;
     keep_ = std::max(keep_, static_cast<Micros>(fleet_) * t_.keep_each);
     const auto of = [this](Micros x) { return x * keep_ / t_.counts_slow; };
     // Over full links several words in a row are lost, and that is no cut.
-    in_sight_ = of(t_.in_sight) * (fleet_ > t_.large ? 2 : 1);
+    sight_.windows(of(t_.in_sight) * (fleet_ > t_.large ? 2 : 1), t_.keeper_in_sight);
     auto y = t_.tally;
     y.seldom = of(550 * pith::kMilli);
     y.silent = of(y.silent);
@@ -126,7 +113,7 @@
     for (const auto& p : knell_.members()) {
         if (p.second.rec.state == knell::kLeft) continue;
         ++all;
-        const bool proxy = p.second.rec.role == "proxy", sight = in_sight(p.second, now);
+        const bool proxy = p.second.rec.role == "proxy", sight = sight_.in_sight(p.second, now);
         seen += sight ? 1 : 0;
         roster += proxy ? 1 : 0;
         near += proxy && sight ? 1 : 0;
@@ -193,7 +180,7 @@
             much || (u >= 1 && c != policy_->bundle().customers.end() && u >= t_.much * c->second.allowance);
     }
     const bool slow = now - last_counts_ >= keep_, tolerant = basin_->tolerant();
-    const auto deaf = silent(now);
+    const auto deaf = sight_.missed(knell_, now, sight_.window());
     const bool large = fleet_ > t_.large;
     // A word to all of a large fleet fills links: however much there is to tell, it waits its turn.
     if (now < next_counts_ && (!much || large)) return;
@@ -254,17 +241,6 @@
     spread(c, d, false);
 }
 
-// One node asks the platform. In a large fleet it is one beside a keeper: such machines have the links to
-// tell all (docs/design.md 7.2).
-bool ProxyCore::lister() const {
-    if (fleet_ <= t_.large) return knell_.mine("listing", "proxy");
-    std::set<std::string> hosts;
-    for (const auto* m : knell_.live("keeper"))
-        hosts.insert(m->rec.address.substr(0, m->rec.address.rfind(':')));
-    if (hosts.empty()) return knell_.mine("listing", "proxy");
-    return knell_.mine("listing", "proxy", &hosts);
-}
-
 void ProxyCore::tick(Micros now, Todo* d) {
     knell_.tick(now, &d->out);
     follower_.roster(control_nodes());
@@ -275,66 +251,90 @@
     basin_->sense(now, s, tally_);
     const auto all = basin_->counts(now);
     counts(now, all, d);
+    ask_for_missed(now, d);
     if (now >= next_worst_) {
         next_worst_ = now + tide::Worst::kEvery;
         for (const auto& c : all)
             worst_[c.rec.customer].note(now,
                                         static_cast<double>(c.rec.released) + tally_.told(c.rec.customer));
     }
-    // The listing is one node's duty, under an epoch (docs/design.md 7.2).
-    if (lister() && follower_.ready()) {
-        const auto e = knell_.take("listing");
-        if (!listing_busy_ && now >= next_list_) {
-            listing_busy_ = true;
-            next_list_ = now + (fleet_ > t_.large ? t_.list_every_large : t_.list_every);
-            d->list = true;
-        }
-        if (listing_.epoch != 0 && listing_.holder != knell_.name()) {  // taken over: told on under our epoch
-            listing_.epoch = e;
-            listing_.holder = knell_.name();
-            knell_.freight().list_epoch = e;
-            pool_->listing(now, listing_);
-            spread(listing_, d, true);
-        }
-    } else {
-        listing_busy_ = false;
-    }
-    if (now >= next_spread_) {  // one that is behind asks the holder, or a keeper
-        next_spread_ = now + pith::kSecond;
-        std::uint64_t e = listing_.epoch, v = listing_.version;
-        std::string at;
-        for (const auto* m : knell_.live())
-            if (m->freight.list_epoch > e || (m->freight.list_epoch == e && m->freight.list_version > v)) {
-                e = m->freight.list_epoch;
-                v = m->freight.list_version;
-                at = m->rec.address;
-            }
-        if (!at.empty()) d->out.push_back({at, weft::ListingAsk{listing_.epoch, listing_.version}});
-        if (at.empty() && listing_.epoch == 0)
-            for (const auto& k : control_nodes()) d->out.push_back({k.second, weft::ListingAsk{0, 0}});
-    }
+    d->list = listing_.tick(now, {fleet_ > t_.large, follower_.ready(), control_nodes()}, &d->out);
     // What a server said of its own leaving, to any of us, is told to all (docs/design.md 7.3).
     const auto gone = pool_->leaving_news();
     if (!gone.empty()) spread(weft::Probes{gone}, d, false);
-    // Within a zone bytes are cheap, and what peers have in flight decides: told between counts
-    // (docs/design.md 7.3).
-    if (fleet_ <= t_.large && now >= next_load_) {
-        next_load_ = now + t_.load_every;
-        weft::Load l;
-        l.load = pool_->load_news(false);
-        if (!l.load.empty()) {
-            l.seq = ++counts_seq_;
-            for (const auto* m : knell_.live("proxy"))
-                if (m->rec.locality == knell_.locality()) d->out.push_back({m->rec.address, l});
-        }
-    }
-    if (now >= next_probe_ && fleet_ <= t_.large) {
+    if (fleet_ > t_.large) return;
+    tell_load(now, d);
+    if (now >= next_probe_) {
         next_probe_ = now + t_.probe_every;
         for (const auto& r : pool_->unseen_since(now - t_.probe_every))
             if (knell_.mine("probe/" + r.address, "proxy")) d->probe.push_back(r);
     }
 }
 
+// Within a zone bytes are cheap, and what peers have in flight decides: told between counts (docs/design.md 7.3).
+void ProxyCore::tell_load(Micros now, Todo* d) {
+    if (now < next_load_) return;
+    next_load_ = now + t_.load_every;
+    weft::Load l;
+    l.load = pool_->load_news(false);
+    if (l.load.empty()) return;
+    l.seq = ++counts_seq_;
+    for (const auto* m : knell_.live("proxy"))
+        if (m->rec.locality == knell_.locality()) d->out.push_back({m->rec.address, l});
+}
+
+// Peers that are live for the fleet and silent here are asked for of those that are heard (docs/design.md 6.5).
+void ProxyCore::ask_for_missed(Micros now, Todo* d) {
+    const auto patience = static_cast<Micros>(static_cast<double>(keep_) * t_.relay_after);
+    const auto missed = sight_.missed(knell_, now, patience);
+    if (missed.empty()) return;
+    const auto ask = counts_relay_.ask(now, missed, sight_.in_reach(knell_, now, patience));
+    for (const auto& helper : ask.helpers) d->out.push_back({knell_.address(helper), ask.message});
+}
+
+// What was heard of them last goes out at once, what they say from now on as it comes.
+void ProxyCore::answer_relay_ask(Micros now, const std::string& from, const weft::RelayAsk& ask, Todo* d) {
+    const std::string to = knell_.address(from);
+    if (to.empty()) return;
+    counts_relay_.asked(now, from, ask.peers);
+    for (const auto& peer : ask.peers) {
+        weft::RelayedCounts relayed;
+        relayed.origin = peer;
+        if (tally_.last_word(peer, now - kRecentWord, &relayed.inc, &relayed.counts)) d->out.push_back({to, relayed});
+    }
+}
+
+void ProxyCore::hear_counts(Micros now, const weft::Envelope& e, const weft::Counts& said, Todo* d) {
+    const bool met = tally_.knows(e.from, e.inc);
+    basin_->sense(now, tally_.hear(now, e.from, e.inc, said), tally_);
+    if (!met) met_.insert(e.from);
+    const auto& brief = said.silent_brief;
+    const bool misses_us =
+        std::find(said.silent.begin(), said.silent.end(), knell_.name()) != said.silent.end() ||
+        std::find(brief.begin(), brief.end(), weft::brief_hash(knell_.name())) != brief.end();
+    sight_.heard(now, e.from, e.inc, said.seq, misses_us);
+    pool_->told_well(now, said.well);
+    pool_->told_load(now, e.from, e.inc, said.seq, said.load);
+    const auto listeners = counts_relay_.listeners(now, e.from);
+    if (listeners.empty()) return;
+    weft::RelayedCounts relayed;
+    relayed.origin = e.from;
+    relayed.inc = e.inc;
+    relayed.counts.seq = said.seq;
+    relayed.counts.counts = said.counts;
+    relayed.counts.brief = said.brief;
+    for (const auto& listener : listeners) {
+        const std::string to = knell_.address(listener);
+        if (!to.empty()) d->out.push_back({to, relayed});
+    }
+}
+
+// As if it had come straight, but for the sight: whom we hear ourselves is another matter.
+void ProxyCore::hear_relayed(Micros now, const weft::RelayedCounts& relayed) {
+    if (relayed.origin == knell_.name()) return;
+    basin_->sense(now, tally_.hear(now, relayed.origin, relayed.inc, relayed.counts), tally_);
+}
+
 void ProxyCore::hear_feed(Micros now, const weft::Envelope& e, const weft::FeedSaid& said, bool fresh,
                           Todo* d) {
     if (fresh) note_number(now, said.commit);
@@ -404,17 +404,15 @@
 void ProxyCore::hear(Micros now, const weft::Envelope& e, Todo* d) {
     const bool fresh = knell_.hear(now, e, &d->out);
     if (const auto* c = std::get_if<weft::Counts>(&e.msg)) {
-        const bool met = tally_.knows(e.from, e.inc);
-        basin_->sense(now, tally_.hear(now, e.from, e.inc, *c), tally_);
-        if (!met) met_.insert(e.from);
-        const auto& sb = c->silent_brief;
-        if (std::find(c->silent.begin(), c->silent.end(), knell_.name()) != c->silent.end() ||
-            std::find(sb.begin(), sb.end(), weft::brief_hash(knell_.name())) != sb.end())
-            deaf_[e.from] = now;
-        else
-            deaf_.erase(e.from);
-        pool_->told_well(now, c->well);
-        pool_->told_load(now, e.from, e.inc, c->seq, c->load);
+        hear_counts(now, e, *c, d);
+        return;
+    }
+    if (const auto* r = std::get_if<weft::RelayedCounts>(&e.msg)) {
+        hear_relayed(now, *r);
+        return;
+    }
+    if (const auto* q = std::get_if<weft::RelayAsk>(&e.msg)) {
+        answer_relay_ask(now, e.from, *q, d);
         return;
     }
     if (const auto* l = std::get_if<weft::Load>(&e.msg)) {
@@ -442,23 +440,15 @@
         return;
     }
     if (const auto* l = std::get_if<weft::Listing>(&e.msg)) {
-        if (!knell_.accept("listing", l->epoch, l->holder)) {
-            ++refused_;
-            return;
-        }
-        if (l->epoch > listing_.epoch || (l->epoch == listing_.epoch && l->version > listing_.version)) {
-            listing_ = *l;
-            knell_.freight().list_epoch = l->epoch;
-            knell_.freight().list_version = l->version;
-            pool_->listing(now, *l);
-        }
+        if (!listing_.hear(now, e.from, *l)) ++refused_;
+        return;
+    }
+    if (const auto* c = std::get_if<weft::ListingConfirmed>(&e.msg)) {
+        if (fresh) listing_.hear(now, e.from, *c, &d->out);
         return;
     }
     if (const auto* q = std::get_if<weft::ListingAsk>(&e.msg)) {
-        const std::string to = knell_.address(e.from);
-        if (!to.empty() &&
-            (listing_.epoch > q->epoch || (listing_.epoch == q->epoch && listing_.version > q->version)))
-            d->out.push_back({to, listing_});
+        listing_.hear(e.from, *q, &d->out);
         return;
     }
     if (const auto* p = std::get_if<weft::Probes>(&e.msg)) {
@@ -468,39 +458,10 @@
 }
 
 void ProxyCore::listed(Micros now, std::vector<weft::ServerRec> v, Todo* d) {
-    listing_busy_ = false;
-    list_backoff_ = 0;
-    if (!knell_.holds("listing")) return;                // somebody under a higher epoch does it now
-    if (v.empty() && !listing_.servers.empty()) return;  // an empty listing never wipes what is known
-    auto same = [](const weft::ServerRec& a, const weft::ServerRec& b) {
-        return a.address == b.address && a.service == b.service && a.instance == b.instance &&
-               a.state == b.state && a.locality == b.locality && a.slots == b.slots &&
-               a.version == b.version;  // cold_us runs down by itself
-    };
-    const auto e = knell_.take("listing");
-    const bool changed = v.size() != listing_.servers.size() ||
-                         !std::equal(v.begin(), v.end(), listing_.servers.begin(), same) ||
-                         e != listing_.epoch;
-    if (!changed) {
-        // Servers that were missing are let go in time, also where nothing else changes.
-        pool_->listing(now, listing_);
-        return;
-    }
-    listing_.servers = std::move(v);
-    listing_.version = e == listing_.epoch ? listing_.version + 1 : 1;
-    listing_.epoch = e;
-    listing_.holder = knell_.name();
-    knell_.freight().list_epoch = e;
-    knell_.freight().list_version = listing_.version;
-    pool_->listing(now, listing_);
-    spread(listing_, d, true);
+    listing_.listed(now, std::move(v), &d->out);
 }
 
-void ProxyCore::list_failed(Micros now, Micros retry_after) {
-    listing_busy_ = false;
-    list_backoff_ = std::min(kMostBackoff, std::max(t_.list_every, list_backoff_ * 2));
-    next_list_ = now + std::max(list_backoff_, retry_after);
-}
+void ProxyCore::list_failed(Micros now, Micros retry_after) { listing_.failed(now, retry_after); }
 
 void ProxyCore::probed(Micros now, const std::vector<weft::ProbeRec>& v, Todo* d) {
     if (v.empty()) return;
--- a/packages/span/src/pool.cpp
+++ b/packages/span/src/pool.cpp
@@ -1,6 +1,7 @@
 #include "span/pool.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <cmath>
 
 #include "pith/hash.hpp"
@@ -132,8 +133,9 @@
 
 void Pool::listing(Micros now, const weft::Listing& l) {
     // The same one again lets those go that were missing for long.
-    if (l.epoch < epoch_ || (l.epoch == epoch_ && l.version < version_)) return;
+    if (std::tie(l.epoch, l.holder, l.version) < std::tie(epoch_, holder_, version_)) return;
     epoch_ = l.epoch;
+    holder_ = l.holder;
     version_ = l.version;
     std::map<std::string, std::vector<const weft::ServerRec*>> by;
     for (const auto& r : l.servers) {
--- a/packages/span/test/core.cpp
+++ b/packages/span/test/core.cpp
@@ -328,7 +328,7 @@
         beside.me.address = "me:2";
         beside.me.version = 2;
         beside.commit = 4;
-        std::size_t asked = 0;
+        std::vector<pith::Micros> asked{x.now};  // the listing that it has was just told by who had asked
         for (int tick = 0; tick < 60; ++tick) {
             x.hear("k", beside);
             for (int i = 0; i < peers; ++i) x.beat("p" + std::to_string(i), "proxy", 4);
@@ -336,13 +336,19 @@
             x.core.tick(x.now, &todo);
             x.now += 100 * kMilli;
             if (!todo.list) continue;
-            ++asked;
+            asked.push_back(x.now - 100 * kMilli);
             x.core.listed(x.now, {}, &todo);
         }
         if (peers == 3)
-            BOOST_TEST(asked <= 6u);
+            BOOST_TEST(asked.size() <= 6u);
         else
-            BOOST_TEST(asked == 10u);
+            BOOST_TEST(asked.size() == 10u);
+        for (std::size_t i = 1; i < asked.size(); ++i) {
+            if (peers == 3)
+                BOOST_TEST(asked[i] - asked[i - 1] >= kSecond);
+            else
+                BOOST_TEST(asked[i] - asked[i - 1] == 600 * kMilli);
+        }
     }
 }
 
--- /dev/null
+++ b/packages/span/test/listing_duty.cpp
@@ -0,0 +1,288 @@
+#define BOOST_TEST_MODULE span_listing_duty
+// The listing over a whole fleet (docs/design.md 7.2): whichever node is lost, at whatever moment of a period, a server
+// that the platform shows as leaving is known to all others in time. Prints how long it took at the most.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <queue>
+
+#include "pith/hash.hpp"
+#include "span/listing_duty.hpp"
+
+using namespace span;
+using pith::kMilli;
+using pith::kSecond;
+using pith::Micros;
+
+namespace {
+
+constexpr Micros kTick = 25 * kMilli;
+constexpr Micros kAnswer = 40 * kMilli;  // of the platform, with a page or two
+
+enum class Loss { none, dead, frozen, cut, half_cut };
+
+// Proxies with their membership and this duty, links that delay, and a platform.
+class Fleet {
+  public:
+    Fleet(std::size_t size, std::uint64_t seed, double loss) : random_(seed), loss_(loss) {
+        for (std::size_t i = 0; i < size; ++i) {
+            knell::Config config;
+            config.name = config.address = name(i);
+            config.locality = std::string(1, static_cast<char>('a' + i % 3));
+            config.role = "proxy";
+            config.seeds = {name(0), name(1), name(2)};
+            auto node = std::make_unique<Node>();
+            node->members = std::make_unique<knell::Knell>(config);
+            node->pool = std::make_unique<Pool>(config.name, config.locality, PoolTuning{});
+            node->duty = std::make_unique<ListingDuty>(ListingDuty::Tuning{}, node->members.get(), node->pool.get());
+            nodes_.push_back(std::move(node));
+            at(static_cast<Micros>(random_.below(kTick)), [this, i] { tick(i); });
+        }
+        servers_.push_back(server());
+    }
+
+    void run_until(Micros until) {
+        while (!events_.empty() && events_.top().at <= until) {
+            auto event = events_.top();
+            events_.pop();
+            now_ = event.at;
+            event.act();
+        }
+        now_ = until;
+    }
+    Micros now() const { return now_; }
+    std::size_t first() const {  // whom the duty's order names first
+        for (std::size_t i = 0; i < nodes_.size(); ++i)
+            if (nodes_[i]->members->mine("listing", "proxy")) return i;
+        return 0;
+    }
+    void lose(std::size_t i, Loss how) {
+        nodes_[i]->loss = how;
+        lost_at_ = now_;
+    }
+    void leave() {
+        servers_[0].state = kLeaving;
+        left_at_ = now_;
+    }
+    // How long until all in touch knew it; kNever: some do not.
+    Micros known_after() const {
+        Micros latest = 0;
+        for (const auto& node : nodes_)
+            if (node->loss == Loss::none) latest = std::max(latest, node->knew_at);
+        return latest == pith::kNever ? latest : latest - left_at_;
+    }
+    std::uint64_t questions() const { return questions_; }
+
+  private:
+    struct Node {
+        std::unique_ptr<knell::Knell> members;
+        std::unique_ptr<Pool> pool;
+        std::unique_ptr<ListingDuty> duty;
+        Loss loss = Loss::none;
+        Micros knew_at = pith::kNever;
+        std::uint64_t sequence = 0;
+    };
+    struct Event {
+        Micros at;
+        std::uint64_t number;
+        std::function<void()> act;
+        bool operator<(const Event& other) const { return at != other.at ? at > other.at : number > other.number; }
+    };
+    static std::string name(std::size_t i) { return "p" + std::to_string(i); }
+    static weft::ServerRec server() {
+        weft::ServerRec record;
+        record.address = "10.0.0.1:80";
+        record.service = record.instance = "s";
+        record.locality = "a";
+        record.state = kServing;
+        return record;
+    }
+    void at(Micros when, std::function<void()> act) { events_.push({when, events_made_++, std::move(act)}); }
+    bool runs(std::size_t i) const { return nodes_[i]->loss != Loss::dead && nodes_[i]->loss != Loss::frozen; }
+    // One that is half cut off is heard by the odd ones only.
+    bool linked(std::size_t from, std::size_t to) const {
+        const auto out = nodes_[from]->loss, in = nodes_[to]->loss;
+        if (out == Loss::cut || in == Loss::cut) return false;
+        return !(out == Loss::half_cut && to % 2 == 0) && !(in == Loss::half_cut && from % 2 == 0);
+    }
+    void tick(std::size_t i) {
+        if (runs(i)) {
+            Node& node = *nodes_[i];
+            weft::Out out;
+            node.members->tick(now_, &out);
+            if (node.duty->tick(now_, {nodes_.size() > 24, true, {}}, &out)) {
+                ++questions_;
+                const auto answer = servers_;
+                at(now_ + kAnswer, [this, i, answer] { listed(i, answer); });
+            }
+            send(i, out);
+            look(node);
+        }
+        at(now_ + kTick, [this, i] { tick(i); });
+    }
+    void listed(std::size_t i, const std::vector<weft::ServerRec>& servers) {
+        if (!runs(i)) return;
+        weft::Out out;
+        nodes_[i]->duty->listed(now_, servers, &out);
+        send(i, out);
+        look(*nodes_[i]);
+    }
+    void send(std::size_t from, const weft::Out& out) {
+        for (const auto& message : out) {
+            const auto to = static_cast<std::size_t>(std::stoul(message.address.substr(1)));
+            if (!linked(from, to) || random_.unit() < loss_) continue;
+            weft::Envelope envelope{name(from), 1, ++nodes_[from]->sequence, message.msg};
+            const Micros trip = 2 * kMilli + static_cast<Micros>(random_.below(20 * kMilli));
+            at(now_ + trip, [this, to, envelope] { hear(to, envelope); });
+        }
+    }
+    void hear(std::size_t i, const weft::Envelope& envelope) {
+        if (!runs(i)) return;
+        Node& node = *nodes_[i];
+        weft::Out out;
+        node.members->hear(now_, envelope, &out);
+        if (const auto* listing = std::get_if<weft::Listing>(&envelope.msg))
+            node.duty->hear(now_, envelope.from, *listing);
+        if (const auto* confirmed = std::get_if<weft::ListingConfirmed>(&envelope.msg))
+            node.duty->hear(now_, envelope.from, *confirmed, &out);
+        if (const auto* ask = std::get_if<weft::ListingAsk>(&envelope.msg)) node.duty->hear(envelope.from, *ask, &out);
+        send(i, out);
+        look(node);
+    }
+    void look(Node& node) const {
+        const auto& servers = node.duty->newest().servers;
+        if (node.knew_at == pith::kNever && !servers.empty() && servers[0].state == kLeaving) node.knew_at = now_;
+    }
+
+    pith::Rng random_;
+    double loss_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::priority_queue<Event> events_;
+    std::uint64_t events_made_ = 0, questions_ = 0;
+    Micros now_ = 0, left_at_ = 0, lost_at_ = 0;
+    std::vector<weft::ServerRec> servers_;
+};
+
+constexpr Micros kSettled = 5 * kSecond;
+
+// The longest time over the moments of a period (each 100 ms, but in a large fleet) at which a server leaves, with the loss a moment before it.
+Micros worst(std::size_t nodes, Loss how, double loss_of_frames) {
+    Micros latest = 0;
+    const int steps = nodes > 24 ? 5 : 10;  // of a large fleet each takes long to play
+    for (int step = 0; step < steps; ++step) {
+        Fleet fleet(nodes, 100 + static_cast<std::uint64_t>(step), loss_of_frames);
+        fleet.run_until(kSettled + step * kSecond / steps);
+        if (how != Loss::none) fleet.lose(fleet.first(), how);
+        fleet.run_until(fleet.now() + kMilli);
+        fleet.leave();
+        fleet.run_until(fleet.now() + 3 * kSecond);
+        latest = std::max(latest, fleet.known_after());
+    }
+    return latest;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(what_leaves_is_known_in_time_whoever_is_lost) {
+    struct Case {
+        const char* text;
+        Loss how;
+    };
+    const Case cases[] = {{"nobody", Loss::none},
+                          {"the first dead", Loss::dead},
+                          {"the first frozen", Loss::frozen},
+                          {"the first cut off", Loss::cut},
+                          {"the first heard by every other node", Loss::half_cut}};
+    for (const std::size_t nodes : {3u, 15u, 84u})
+        for (const auto& c : cases)
+            for (const double loss : {0.0, 0.05}) {
+                const Micros latest = worst(nodes, c.how, loss);
+                BOOST_TEST_MESSAGE(nodes << " nodes, lost: " << c.text << ", frames lost " << loss << ": known after "
+                                         << latest / 1000 << " ms at the latest");
+                BOOST_TEST(latest < 1800 * kMilli);
+            }
+}
+
+// In a calm fleet one node asks, once a period: the calls are the platform's, and few.
+BOOST_AUTO_TEST_CASE(one_asks_where_nothing_is_lost) {
+    for (const std::size_t nodes : {3u, 15u, 84u}) {
+        Fleet fleet(nodes, 7, 0);
+        fleet.run_until(kSettled);
+        const auto before = fleet.questions();
+        fleet.run_until(kSettled + 12 * kSecond);
+        BOOST_TEST(fleet.questions() - before <= (nodes > 24 ? 21u : 13u));
+        BOOST_TEST(fleet.questions() - before >= (nodes > 24 ? 18u : 10u));
+    }
+}
+
+namespace {
+// One node that hears what others say.
+struct Alone {
+    knell::Knell members{config()};
+    Pool pool{"p0", "a", PoolTuning{}};
+    ListingDuty duty{ListingDuty::Tuning{}, &members, &pool};
+    weft::Out out;
+    static knell::Config config() {
+        knell::Config c;
+        c.name = c.address = "p0";
+        c.role = "proxy";
+        return c;
+    }
+    static weft::Listing listing(std::uint64_t epoch, const std::string& holder, std::uint64_t version) {
+        weft::Listing l;
+        l.epoch = epoch;
+        l.holder = holder;
+        l.version = version;
+        weft::ServerRec record;
+        record.address = "10.0.0.1:80";
+        record.service = record.instance = "s";
+        record.version = holder;
+        l.servers.push_back(record);
+        return l;
+    }
+    const std::string& held() const { return duty.newest().holder; }
+};
+}  // namespace
+
+// Two that asked at once tell under one epoch: all keep the same one, whichever comes first.
+BOOST_AUTO_TEST_CASE(two_listings_of_one_epoch_end_alike) {
+    Alone first, second;
+    BOOST_TEST(first.duty.hear(1, "p1", Alone::listing(2, "p1", 1)));
+    BOOST_TEST(first.duty.hear(2, "p2", Alone::listing(2, "p2", 1)));
+    BOOST_TEST(second.duty.hear(1, "p2", Alone::listing(2, "p2", 1)));
+    BOOST_TEST(!second.duty.hear(2, "p1", Alone::listing(2, "p1", 1)));
+    BOOST_TEST(first.held() == "p2");
+    BOOST_TEST(second.held() == "p2");
+}
+
+// An answer that is older than what was heard meanwhile changes nothing, and confirms nothing.
+BOOST_AUTO_TEST_CASE(an_answer_that_was_overtaken_is_dropped) {
+    Alone x;
+    BOOST_TEST(x.duty.tick(kSecond, {false, true, {}}, &x.out));
+    x.duty.hear(kSecond + 1, "p1", Alone::listing(2, "p1", 1));
+    auto old = Alone::listing(1, "p0", 1).servers;
+    x.out.clear();
+    x.duty.listed(kSecond + 2, old, &x.out);
+    BOOST_TEST(x.held() == "p1");
+    BOOST_TEST(x.out.empty());
+}
+
+// What is passed on is not taken for new: the node asks by itself.
+BOOST_AUTO_TEST_CASE(a_listing_from_third_hand_is_not_confirmed) {
+    Alone x;
+    x.duty.hear(kSecond, "p2", Alone::listing(2, "p1", 1));
+    BOOST_TEST(x.duty.age(kSecond) > kSecond);
+    BOOST_TEST(x.duty.tick(kSecond + 1, {false, true, {}}, &x.out));
+}
+
+// A platform that does not answer is asked again each period: what leaves meanwhile is due once it is back.
+BOOST_AUTO_TEST_CASE(a_platform_that_is_down_is_asked_each_period) {
+    Alone x;
+    std::size_t asked = 0;
+    for (Micros now = kSecond; now < 21 * kSecond; now += kTick)
+        if (x.duty.tick(now, {false, true, {}}, &x.out)) {
+            ++asked;
+            x.duty.failed(now, 0);
+        }
+    BOOST_TEST(asked == 20u);
+}
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -48,6 +48,13 @@
 #define LOAD(F) F(U64, seq) F(std::vector<U32>, load)
 WEFT_STRUCT(Load, LOAD)
 
+// Asks to be told what these peers count, by one that does not hear them itself (docs/design.md 6.5).
+#define RELAY_ASK(F) F(std::vector<Str>, peers)
+WEFT_STRUCT(RelayAsk, RELAY_ASK)
+// What a peer said, passed on: `counts` as it came from `origin` in its life `inc`.
+#define RELAYED_COUNTS(F) F(Str, origin) F(U64, inc) F(Counts, counts)
+WEFT_STRUCT(RelayedCounts, RELAYED_COUNTS)
+
 // A count as it stands in Counts.brief: what it released is modulo 2^32, and known from the count before.
 struct BriefCount {
     U32 customer = 0, released = 0;
@@ -160,8 +167,12 @@
 WEFT_STRUCT(ServerRec, SERVER_REC)
 #define LISTING(F) F(U64, epoch) F(Str, holder) F(U64, version) F(std::vector<ServerRec>, servers)
 WEFT_STRUCT(Listing, LISTING)
-#define LISTING_ASK(F) F(U64, epoch) F(U64, version)
+// What the asker holds.
+#define LISTING_ASK(F) F(U64, epoch) F(U64, version) F(Str, holder)
 WEFT_STRUCT(ListingAsk, LISTING_ASK)
+// The platform was just asked, and this listing is what it still says (docs/design.md 7.2).
+#define LISTING_CONFIRMED(F) F(U64, epoch) F(Str, holder) F(U64, version)
+WEFT_STRUCT(ListingConfirmed, LISTING_CONFIRMED)
 #define PROBE_REC(F) F(Str, address) F(Str, instance) F(U8, verdict)
 WEFT_STRUCT(ProbeRec, PROBE_REC)
 #define PROBES(F) F(std::vector<ProbeRec>, probes)
@@ -192,7 +203,10 @@
     X(30, FoundingSaid)                                                                             \
     X(31, FoundingProposal)                                                                         \
     X(32, BundleAsk)                                                                                \
-    X(33, BundleSaid)
+    X(33, BundleSaid)                                                                               \
+    X(34, RelayAsk)                                                                                 \
+    X(35, RelayedCounts)                                                                            \
+    X(36, ListingConfirmed)
 
 #define X(t, n) , n
 using Msg = std::variant<std::monostate WEFT_MESSAGES(X)>;
