span: in a large fleet counts go through the proxies beside control nodes, which tell sums

Ruled out: processor (--no-cpu served the same), quota's sensing, start-up (refusals from 4.4 s on, in one zone). Now every proxy tells its counts to the proxies beside control nodes, and is told the sums of all others by two of them; its standing follows from what they have in sight. Several aggregators' sums are read on one scale, the one that knows most leads.

--- a/packages/knell/include/knell/knell.hpp
+++ b/packages/knell/include/knell/knell.hpp
@@ -50,6 +50,8 @@
     Freight& freight() { return freight_; }
     std::uint64_t inc() const { return c_.inc; }
     const std::string& name() const { return c_.name; }
+    const std::string& role() const { return c_.role; }
+    const std::string& own_address() const { return c_.address; }
     const std::map<std::string, Member>& members() const { return m_; }
     std::vector<const Member*> live(const std::string& role = "") const;
     bool is_live(const std::string& name) const;
--- a/packages/loom/include/loom/world.hpp
+++ b/packages/loom/include/loom/world.hpp
@@ -41,6 +41,7 @@
     Micros link = 2 * pith::kMilli, jitter = 6 * pith::kMilli;
     double small_service = 0;     // traffic of the last service, where it is not an equal part
     std::set<std::string> older;  // nodes of a version whose Counts had neither `silent` nor `well`
+    bool shared_hosts = false;        // the first proxies stand on the control nodes' machines
     bool servers_say_leaving = true;  // in probes and answers; else only the platform's listing shows it
     double over = 0;              // the operators' tolerance: tide::Tuning
     bool discovered = false;  // no keepers are listed (docs/control.md); seeds are the first three proxies
--- a/packages/loom/src/deployments.cpp
+++ b/packages/loom/src/deployments.cpp
@@ -46,6 +46,8 @@
     Deployment d = firm();
     d.proxies = proxies;
     d.servers = std::max(35, proxies);
+    d.shared_hosts = true;
+    if (proxies > 24) d.keepers = 6;
     d.link = 20 * kMilli;
     d.jitter = 30 * kMilli;
     d.over = 0.1;
--- a/packages/loom/src/world_nodes.cpp
+++ b/packages/loom/src/world_nodes.cpp
@@ -20,6 +20,10 @@
     knell::Config c;
     c.name = name;
     c.address = address_.count(name) != 0 ? address_[name] : name;
+    if (d_.shared_hosts && address_.count(name) == 0) {
+        c.address = "m" + name.substr(1) + ":" + name.substr(0, 1);
+        node_at_[c.address] = name;
+    }
     c.locality = zone_[name];
     c.role = role_[name];
     if (d_.discovered)
--- a/packages/loom/test/seeds.cpp
+++ b/packages/loom/test/seeds.cpp
@@ -81,6 +81,33 @@
     }
 }
 
+// A control machine is cut off from the other control machines only, while a customer floods: each pair that is cut hears
+// the other through those that hear both (docs/incidents/hearing-is-not-transitive.md).
+BOOST_AUTO_TEST_CASE(a_pair_that_is_cut_hears_through_others) {
+    std::vector<Job> jobs;
+    for (const char* s : {"core_cut+flood", "core_cut+flood_rest", "core_cut+roll+flood_rest"})
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) jobs.push_back({s, "wide", seed});
+    for (const auto& r : run_all(jobs)) {
+        BOOST_TEST_MESSAGE(r.line());
+        BOOST_TEST(r.faults.count("allowance") == 0u, r.line());
+    }
+    // Without the relay the bound does not hold.
+    span::CoreTuning no_relay;
+    no_relay.relay.helpers = 0;
+    std::size_t broken = 0;
+    for (const auto& r : run_all({jobs.begin(), jobs.begin() + 8}, {}, no_relay)) broken += r.faults.count("allowance");
+    BOOST_TEST(broken >= 6u);
+}
+
+// 84 proxies of which six aggregate: what a node says of counts stays small, and no calm customer is refused.
+BOOST_AUTO_TEST_CASE(a_large_fleet_hears_through_aggregators) {
+    for (const auto& r : run_all({{"calm", "wide84", 1}, {"core_cut", "wide84", 1}, {"kills", "wide84", 1}})) {
+        BOOST_TEST(r.faults.count("allowance") == 0u, r.line());
+        BOOST_TEST(r.count_bytes < 4000ULL * 84 * 65, r.line());  // a node and second
+        if (r.scenario == "calm") BOOST_TEST(r.sums.proper_refused == 0u, r.line());
+    }
+}
+
 // Each checker is proved by a rule broken on purpose.
 BOOST_AUTO_TEST_CASE(every_checker_catches_what_it_is_for) {
     struct Proof {
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -10,6 +10,7 @@
 #include "consensus/feed.hpp"
 #include "creed/bundle.hpp"
 #include "knell/knell.hpp"
+#include "span/aggregation.hpp"
 #include "span/counts_relay.hpp"
 #include "span/listing_duty.hpp"
 #include "span/peer_sight.hpp"
@@ -43,6 +44,14 @@
     pith::Micros permit = 900 * pith::kMilli;   // without a majority in sight, and then the floor
     ListingDuty::Tuning listing{};
     CountsRelay::Tuning relay{};
+    SumsTeller::Tuning sums{};
+    // Where aggregators pass counts on (docs/design.md 7.8): the keep-alive and the least between two words grow with the
+    // fleet, as an aggregator hears all; every customer is told so often.
+    bool aggregate = true;
+    pith::Micros keep_each_aggregated = 3 * pith::kMilli;
+    pith::Micros counts_each_aggregated = pith::kMilli;
+    pith::Micros much_aggregated = 50 * pith::kMilli;
+    pith::Micros whole_aggregated = 5 * pith::kSecond;
     // A proxy that was silent for so many keep-alives is asked for of others (docs/design.md 6.5).
     double relay_after = 1.25;
     pith::Micros probe_every = 3 * pith::kSecond;  // a server that nobody's visit showed to live
@@ -92,7 +101,8 @@
     pith::Micros nap() const { return quiet_ ? t_.nap : t_.counts_soon; }
     pith::Micros soon() const { return t_.counts_soon; }
     const consensus::Follower& follower() const { return follower_; }
-    const tide::Tally& tally() const { return tally_; }
+    // What is sensed of the others: of each by itself, or of all together as aggregators tell it.
+    const tide::Tally& tally() const { return told_sums() ? sums_tally_ : tally_; }
     const std::map<std::string, tide::Worst>& worst() const { return worst_; }
     std::uint64_t refused_words() const { return refused_; }
 
@@ -117,6 +127,13 @@
     void answer_relay_ask(pith::Micros now, const std::string& from, const weft::RelayAsk& ask, Todo* d);
     void ask_for_missed(pith::Micros now, Todo* d);
     void tell_load(pith::Micros now, Todo* d);
+    // This proxy hears the others through aggregators, and is none itself.
+    bool told_sums() const { return aggregators_.in_use() && !aggregators_.is_one(knell_.name()); }
+    void tell_sums(pith::Micros now, const std::vector<tide::Count>& recent, Todo* d);
+    void hear_sums(pith::Micros now, const weft::Envelope& e, const weft::FleetSums& sums);
+    void spread_counts(const weft::Counts& c, Todo* d);
+    std::vector<std::string> missed_peers(pith::Micros now) const;
+    SumsTeller::Sight sight(pith::Micros now) const;
     void spread(const weft::Msg& m, Todo* d, bool keepers_too);
     std::map<std::string, std::string> control_nodes() const;  // that live, by name, with their addresses
 
@@ -134,6 +151,11 @@
     ListingDuty listing_;
     PeerSight sight_;
     CountsRelay counts_relay_;
+    Aggregators aggregators_;
+    SumsTeller sums_teller_;
+    SumsReader sums_reader_;
+    tide::Tally sums_tally_;
+    pith::Micros next_whole_ = 0;  // counts of every customer, to aggregators
     pith::Micros next_probe_ = 0, next_counts_ = 0, well_told_ = -pith::kNever;
     pith::Micros last_counts_ = -pith::kNever, whole_until_ = -pith::kNever, ticked_ = pith::kNever,
                  settled_ = pith::kNever;
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 constexpr Micros kRecentWord = 3 * pith::kSecond;  // what a peer said of a customer since then is passed on
+constexpr char kAllOthers[] = "*";              // all other proxies, as aggregators tell of them
 constexpr std::size_t kMostHigher = 64;  // numbers above ours that are kept in mind
 }  // namespace
 
@@ -22,7 +23,9 @@
       pool_(pool),
       tally_(t.tally),
       listing_(t.listing, &knell_, pool),
-      counts_relay_(t.relay) {
+      counts_relay_(t.relay),
+      sums_teller_(t.sums),
+      sums_tally_(t.tally) {
     cadence();
 }
 
@@ -71,6 +74,7 @@
     std::vector<std::string> names;
     for (const auto& c : policy_->bundle().customers) names.push_back(c.first);
     tally_.customers(names);
+    sums_tally_.customers(names);
     d->policy = true;
 }
 
@@ -95,34 +99,47 @@
     keep_ = t_.counts_slow;
     sight_.windows(t_.in_sight, t_.keeper_in_sight);
     if (!basin_->tolerant()) return;
-    keep_ = std::max(keep_, static_cast<Micros>(fleet_) * t_.keep_each);
+    const bool aggregated = aggregators_.in_use();
+    keep_ = std::max(keep_, static_cast<Micros>(fleet_) * (aggregated ? t_.keep_each_aggregated : t_.keep_each));
     const auto of = [this](Micros x) { return x * keep_ / t_.counts_slow; };
     // Over full links several words in a row are lost, and that is no cut.
-    sight_.windows(of(t_.in_sight) * (fleet_ > t_.large ? 2 : 1), t_.keeper_in_sight);
+    sight_.windows(of(t_.in_sight) * (fleet_ > t_.large && !aggregated ? 2 : 1), t_.keeper_in_sight);
     auto y = t_.tally;
     y.seldom = of(550 * pith::kMilli);
     y.silent = of(y.silent);
     y.lapse = of(y.lapse);
     y.late = of(y.late);
     tally_.times(y);
+    sums_tally_.times(y);
 }
 
-// What a node may use of the allowances follows from how much of the fleet it sees (docs/design.md 6.5).
-void ProxyCore::world(Micros now) {
-    std::size_t all = 1, seen = 1, proxies = 1, roster = 1, near = 1;
+// How much of the fleet is in sight, of all known nodes but those that left (docs/design.md 6.5).
+SumsTeller::Sight ProxyCore::sight(Micros now) const {
+    SumsTeller::Sight own{1, 1, 1, 1};
     for (const auto& p : knell_.members()) {
         if (p.second.rec.state == knell::kLeft) continue;
-        ++all;
-        const bool proxy = p.second.rec.role == "proxy", sight = sight_.in_sight(p.second, now);
-        seen += sight ? 1 : 0;
-        roster += proxy ? 1 : 0;
-        near += proxy && sight ? 1 : 0;
-        proxies += proxy && p.second.rec.state <= knell::kDraining ? 1 : 0;
-    }
-    if (roster != fleet_) {
+        const bool proxy = p.second.rec.role == "proxy", in_sight = sight_.in_sight(p.second, now);
+        ++own.all;
+        own.seen += in_sight ? 1 : 0;
+        own.roster += proxy ? 1 : 0;
+        own.near += proxy && in_sight ? 1 : 0;
+    }
+    return own;
+}
+
+// What a node may use of the allowances follows from how much of the fleet it sees (docs/design.md 6.5).
+void ProxyCore::world(Micros now) {
+    auto view = sight(now);
+    const std::size_t roster = view.roster;
+    const std::size_t proxies = knell_.live("proxy").size() + 1;
+    const bool were_in_use = aggregators_.in_use();
+    aggregators_.look(knell_, t_.aggregate && basin_->tolerant() && roster > t_.large);
+    if (roster != fleet_ || were_in_use != aggregators_.in_use()) {
         fleet_ = roster;
         cadence();
     }
+    // Whom aggregators tell, has in sight what they have.
+    if (told_sums()) view = sums_reader_.sight(now - sight_.window());
     pool_->nodes(roster);
     const bool known = follower_.ready();
     // Of several that start at once none knows yet what the others let through.
@@ -131,9 +148,11 @@
     if (now - ticked_ > t_.stall && settled_ != pith::kNever) {
         settled_ = std::max(settled_, now + t_.wake);
         tally_.woke(now);
+        sums_tally_.woke(now);
     }
     ticked_ = now;
-    const bool settled = now >= settled_, most = seen * 3 >= all * 2, some = seen * 3 > all;
+    const bool settled = now >= settled_, most = view.all > 0 && view.seen * 3 >= view.all * 2,
+               some = view.seen * 3 > view.all;
     if (known && some) whole_until_ = now + t_.permit;
     lonely_ = known && !some;
     if (some && settled)
@@ -144,7 +163,7 @@
     // parts.
     const bool whole = standing_ == tide::Standing::whole;
     const double part =
-        standing_ == tide::Standing::part ? static_cast<double>(near) / static_cast<double>(roster) : 1;
+        standing_ == tide::Standing::part ? static_cast<double>(view.near) / static_cast<double>(view.roster) : 1;
     basin_->world(now, whole ? proxies : roster, standing_, part);
 }
 
@@ -180,13 +199,21 @@
             much || (u >= 1 && c != policy_->bundle().customers.end() && u >= t_.much * c->second.allowance);
     }
     const bool slow = now - last_counts_ >= keep_, tolerant = basin_->tolerant();
-    const auto deaf = sight_.missed(knell_, now, sight_.window());
-    const bool large = fleet_ > t_.large;
+    const auto deaf = missed_peers(now);
+    const bool aggregated = aggregators_.in_use(), large = fleet_ > t_.large && !aggregated;
     // A word to all of a large fleet fills links: however much there is to tell, it waits its turn.
     if (now < next_counts_ && (!much || large)) return;
+    if (aggregated && now - last_counts_ < t_.much_aggregated) return;
     // In a large fleet whom we miss is told with the next word: it changes all the time while links are full.
     if (tolerant && !much && !slow && (large || deaf == silent_)) return;
-    next_counts_ = now + (large ? keep_ / 2 : t_.counts_every);
+    next_counts_ = now + (large ? keep_ / 2
+                          : aggregated
+                              ? std::max(t_.counts_every, static_cast<Micros>(fleet_) * t_.counts_each_aggregated)
+                              : t_.counts_every);
+    if (aggregated && now >= next_whole_) {
+        next_whole_ = now + t_.whole_aggregated;
+        all_next_ = true;
+    }
     weft::Counts c;
     std::vector<tide::Count> every;
     // One that is new needs a baseline of every customer: it alone is told, not all the others once more.
@@ -231,14 +258,55 @@
         c.silent = deaf;
     if (c.counts.empty() && c.brief.empty() && !slow && deaf == silent_) return;
     silent_ = deaf;
-    if (!large && now - well_told_ >= t_.well_every) {
+    if (fleet_ <= t_.large && now - well_told_ >= t_.well_every) {
         c.well = pool_->well_since(well_told_);
         well_told_ = now;
     }
-    if (!large) c.load = pool_->load_news(true);
+    if (fleet_ <= t_.large) c.load = pool_->load_news(true);
     last_counts_ = now;
     c.seq = ++counts_seq_;
-    spread(c, d, false);
+    spread_counts(c, d);
+}
+
+void ProxyCore::spread_counts(const weft::Counts& c, Todo* d) {
+    if (!aggregators_.in_use()) {
+        spread(c, d, false);
+        return;
+    }
+    for (const auto& name : aggregators_.names())
+        if (name != knell_.name()) d->out.push_back({knell_.address(name), c});
+}
+
+// Live proxies that this one should hear and does not. Where aggregators pass counts on only they hear the others.
+std::vector<std::string> ProxyCore::missed_peers(Micros now) const {
+    if (told_sums()) return {};
+    return sight_.missed(knell_, now, sight_.window());
+}
+
+void ProxyCore::tell_sums(Micros now, const std::vector<tide::Count>& recent, Todo* d) {
+    if (!aggregators_.is_one(knell_.name())) return;
+    const bool every = sums_teller_.wants_every(now);
+    if (!sums_teller_.due(now, recent, tally_) && !every) return;
+    if (every) sums_teller_.told_every(now);
+    const auto& customers = every ? basin_->counts(now, true) : sums_teller_.chosen();
+    const auto view = sight(now);
+    ++counts_seq_;
+    for (const auto* member : knell_.live("proxy")) {
+        const auto& name = member->rec.name;
+        if (aggregators_.is_one(name) || !sight_.in_sight(*member, now)) continue;
+        const auto tellers = aggregators_.of(name, member->rec.locality);
+        if (std::find(tellers.begin(), tellers.end(), knell_.name()) == tellers.end()) continue;
+        d->out.push_back({member->rec.address, SumsTeller::word(name, customers, tally_, view, counts_seq_)});
+    }
+}
+
+// All others as one partner, by the aggregator that knows most of them.
+void ProxyCore::hear_sums(Micros now, const weft::Envelope& e, const weft::FleetSums& sums) {
+    weft::Counts counts;
+    if (!sums_reader_.hear(e.from, e.inc, sums, &counts)) return;
+    sums_reader_.heard(now, e.from, sums);
+    const auto sensed = sums_tally_.hear(now, kAllOthers, 1, counts);
+    if (told_sums()) basin_->sense(now, sensed, sums_tally_);
 }
 
 void ProxyCore::tick(Micros now, Todo* d) {
@@ -246,17 +314,19 @@
     follower_.roster(control_nodes());
     follower_.tick(now, number(), hash_, &d->out);
     world(now);
-    const auto s = tally_.tick(now, tally_.doubts(now) ? basin_->shares() : std::map<std::string, double>{},
-                               standing_ == tide::Standing::part);
-    basin_->sense(now, s, tally_);
+    auto& heard = told_sums() ? sums_tally_ : tally_;
+    const auto s = heard.tick(now, heard.doubts(now) ? basin_->shares() : std::map<std::string, double>{},
+                              standing_ == tide::Standing::part);
+    basin_->sense(now, s, heard);
     const auto all = basin_->counts(now);
     counts(now, all, d);
+    tell_sums(now, all, d);
     ask_for_missed(now, d);
     if (now >= next_worst_) {
         next_worst_ = now + tide::Worst::kEvery;
         for (const auto& c : all)
             worst_[c.rec.customer].note(now,
-                                        static_cast<double>(c.rec.released) + tally_.told(c.rec.customer));
+                                        static_cast<double>(c.rec.released) + heard.told(c.rec.customer));
     }
     d->list = listing_.tick(now, {fleet_ > t_.large, follower_.ready(), control_nodes()}, &d->out);
     // What a server said of its own leaving, to any of us, is told to all (docs/design.md 7.3).
@@ -285,10 +355,16 @@
 
 // Peers that are live for the fleet and silent here are asked for of those that are heard (docs/design.md 6.5).
 void ProxyCore::ask_for_missed(Micros now, Todo* d) {
+    if (told_sums()) return;
     const auto patience = static_cast<Micros>(static_cast<double>(keep_) * t_.relay_after);
     const auto missed = sight_.missed(knell_, now, patience);
     if (missed.empty()) return;
-    const auto ask = counts_relay_.ask(now, missed, sight_.in_reach(knell_, now, patience));
+    auto helpers = sight_.in_reach(knell_, now, patience);
+    if (aggregators_.in_use())  // only they hear the others
+        helpers.erase(std::remove_if(helpers.begin(), helpers.end(),
+                                     [this](const std::string& name) { return !aggregators_.is_one(name); }),
+                      helpers.end());
+    const auto ask = counts_relay_.ask(now, missed, helpers);
     for (const auto& helper : ask.helpers) d->out.push_back({knell_.address(helper), ask.message});
 }
 
@@ -306,8 +382,9 @@
 
 void ProxyCore::hear_counts(Micros now, const weft::Envelope& e, const weft::Counts& said, Todo* d) {
     const bool met = tally_.knows(e.from, e.inc);
-    basin_->sense(now, tally_.hear(now, e.from, e.inc, said), tally_);
-    if (!met) met_.insert(e.from);
+    const auto sensed = tally_.hear(now, e.from, e.inc, said);
+    if (!told_sums()) basin_->sense(now, sensed, tally_);
+    if (!met && !aggregators_.in_use()) met_.insert(e.from);
     const auto& brief = said.silent_brief;
     const bool misses_us =
         std::find(said.silent.begin(), said.silent.end(), knell_.name()) != said.silent.end() ||
@@ -332,7 +409,8 @@
 // As if it had come straight, but for the sight: whom we hear ourselves is another matter.
 void ProxyCore::hear_relayed(Micros now, const weft::RelayedCounts& relayed) {
     if (relayed.origin == knell_.name()) return;
-    basin_->sense(now, tally_.hear(now, relayed.origin, relayed.inc, relayed.counts), tally_);
+    const auto sensed = tally_.hear(now, relayed.origin, relayed.inc, relayed.counts);
+    if (!told_sums()) basin_->sense(now, sensed, tally_);
 }
 
 void ProxyCore::hear_feed(Micros now, const weft::Envelope& e, const weft::FeedSaid& said, bool fresh,
@@ -407,6 +485,10 @@
         hear_counts(now, e, *c, d);
         return;
     }
+    if (const auto* sums = std::get_if<weft::FleetSums>(&e.msg)) {
+        hear_sums(now, e, *sums);
+        return;
+    }
     if (const auto* r = std::get_if<weft::RelayedCounts>(&e.msg)) {
         hear_relayed(now, *r);
         return;
--- a/packages/tide/include/tide/tally.hpp
+++ b/packages/tide/include/tide/tally.hpp
@@ -43,6 +43,12 @@
     double told(const std::string& customer) const;  // released by partners while we listened, only ever more
     double rate(const std::string& customer) const;  // partners' summed rate
     double queued(const std::string& customer) const;
+    // All that partners were charged with as it was heard, without what was assumed: only ever more while they are known.
+    double passed(const std::string& customer) const;
+    struct Share {
+        double passed = 0, rate = 0, queued = 0;
+    };
+    Share of(const std::string& from, const std::string& customer) const;  // one partner's part of these
     double assumed(const std::string& customer) const;
     // What a partner counted of the customers that it named since `since`, as it would tell it; false where it is unknown.
     bool last_word(const std::string& from, pith::Micros since, std::uint64_t* inc, weft::Counts* counts) const;
@@ -58,6 +64,7 @@
     struct One {
         std::uint64_t released = 0;
         double rate = 0, assumed = 0, queued = 0;
+        double passed = 0;  // all that was heard of
         bool known = false, hot = false;
         pith::Micros named = -pith::kNever;
         double gap = 0;  // seconds of silence that its next count covers, where that was long
--- a/packages/tide/src/tally.cpp
+++ b/packages/tide/src/tally.cpp
@@ -78,6 +78,7 @@
         } else if (r.released > o.released) {
             d = static_cast<double>(r.released - o.released);
         }
+        o.passed += d;
         o.known = true;
         o.hot = now - o.named <= t_.hot;
         o.named = now;
@@ -168,6 +169,14 @@
 }
 double Tally::rate(const std::string& customer) const { return sum(customer, &One::rate); }
 double Tally::queued(const std::string& customer) const { return sum(customer, &One::queued); }
+double Tally::passed(const std::string& customer) const { return sum(customer, &One::passed); }
+Tally::Share Tally::of(const std::string& from, const std::string& customer) const {
+    const auto partner = p_.find(from);
+    if (partner == p_.end()) return {};
+    const auto one = partner->second.by.find(customer);
+    if (one == partner->second.by.end()) return {};
+    return {one->second.passed, one->second.rate, one->second.queued};
+}
 double Tally::assumed(const std::string& customer) const { return sum(customer, &One::assumed); }
 
 }  // namespace tide
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -55,6 +55,11 @@
 #define RELAYED_COUNTS(F) F(Str, origin) F(U64, inc) F(Counts, counts)
 WEFT_STRUCT(RelayedCounts, RELAYED_COUNTS)
 
+// The sums of all proxies but the receiver, as an aggregator knows them (docs/design.md 7.8). `brief`: as in Counts.
+// `seen` of `all` nodes are in its sight, `near` of `roster` proxies.
+#define FLEET_SUMS(F) F(U64, seq) F(Str, brief) F(U32, seen) F(U32, all) F(U32, near) F(U32, roster)
+WEFT_STRUCT(FleetSums, FLEET_SUMS)
+
 // A count as it stands in Counts.brief: what it released is modulo 2^32, and known from the count before.
 struct BriefCount {
     U32 customer = 0, released = 0;
@@ -206,7 +211,8 @@
     X(33, BundleSaid)                                                                               \
     X(34, RelayAsk)                                                                                 \
     X(35, RelayedCounts)                                                                            \
-    X(36, ListingConfirmed)
+    X(36, ListingConfirmed)                                                                         \
+    X(37, FleetSums)
 
 #define X(t, n) , n
 using Msg = std::variant<std::monostate WEFT_MESSAGES(X)>;
