--- a/packages/loom/src/scenario.cpp
+++ b/packages/loom/src/scenario.cpp
@@ -55,6 +55,12 @@
     }
 }
 
+// All machines with a disk are killed at the same moment, twice, and are back within a second.
+void core_kill(Cast& c) {
+    for (const Micros t : {kFrom + 4 * kSecond, kFrom + 16 * kSecond})
+        for (std::size_t i = 0; i < c.kp.size(); ++i) c.kill(c.px[i], t, c.some(600 * kMilli, kSecond));
+}
+
 void power(Cast& c) {  // the whole fleet, keepers too, without warning; then once more while it comes back
     const Micros t = c.some(kFrom, kFrom + 8 * kSecond), back = c.some(kSecond, 4 * kSecond);
     for (const auto& n : c.px) c.kill(n, t, back + c.some(0, 800 * kMilli));
@@ -470,6 +476,7 @@
                         {"small_storm", quiet_day, {4, 4}, false},
                         {"kills", kills, {6, 6}, true},
                         {"herd", herd, {13, 586}, true},
+                        {"core_kill", core_kill, {13, 60}, true},
                         {"power", power, {4, 186}, true},
                         {"steps", steps, {4, 400}, false},
                         {"roll", roll, {4, 5}, true},
--- a/packages/span/include/span/aggregation.hpp
+++ b/packages/span/include/span/aggregation.hpp
@@ -1,7 +1,8 @@
 #pragma once
-// Counts in a large fleet go through a few proxies, the aggregators, instead of from each to all (docs/design.md 7.8).
-// They are the proxies beside a control node, whose machines have the wide links. Every proxy tells its counts to all of
-// them; each proxy is told the sums of all others by two, of its own zone first, so that either may be lost.
+// Counts in a large fleet go through a few proxies, the aggregators, instead of from each to all
+// (docs/design.md 7.8). They are the proxies beside a control node, whose machines have the wide links. Every
+// proxy tells its counts to all of them; each proxy is told the sums of all others by two, of its own zone
+// first, so that either may be lost.
 #include <cstdint>
 #include <map>
 #include <set>
@@ -35,21 +36,22 @@
     bool wanted_ = false;
 };
 
-// What an aggregator tells those that it serves, and when: customers whose sums moved by what matters for their need at
-// once, the others with the next keep-alive.
+// What an aggregator tells those that it serves, and when: customers whose sums moved by what matters for
+// their need at once, the others with the next keep-alive.
 class SumsTeller {
   public:
     struct Tuning {
-        pith::Micros soonest = 50 * pith::kMilli;    // between two words where much has changed
-        pith::Micros usual = 100 * pith::kMilli;     // where anything has
-        pith::Micros slowest = 400 * pith::kMilli;   // a change that matters little waits so long
-        pith::Micros whole = 2 * pith::kSecond;      // every customer, lest a lost word cost much
+        pith::Micros soonest = 50 * pith::kMilli;   // between two words where much has changed
+        pith::Micros usual = 100 * pith::kMilli;    // where anything has
+        pith::Micros slowest = 400 * pith::kMilli;  // a change that matters little waits so long
+        pith::Micros whole = 2 * pith::kSecond;     // every customer, lest a lost word cost much
     };
     struct Sight {  // how much of the fleet the aggregator has in sight (docs/design.md 6.5)
         std::uint32_t seen = 0, all = 0, near = 0, roster = 0;
     };
     explicit SumsTeller(const Tuning& tuning) : tuning_(tuning) {}
-    // Customers to tell now; `changed` are those with recent traffic, `every` all, asked for only where needed.
+    // Customers to tell now; `changed` are those with recent traffic, `every` all, asked for only where
+    // needed.
     bool due(pith::Micros now, const std::vector<tide::Count>& recent, const tide::Tally& tally);
     const std::vector<tide::Count>& chosen() const { return chosen_; }
     bool wants_every(pith::Micros now) const { return now >= next_whole_; }
@@ -69,19 +71,20 @@
     std::vector<tide::Count> chosen_;
 };
 
-// Words of several aggregators, brought to one scale: each counts from its own beginning, and the one that knows most
-// leads. Gives counts as of one partner that stands for all others.
+// Words of several aggregators, brought to one scale: each counts from its own beginning, and the one that
+// knows most leads. Gives counts as of one partner that stands for all others.
 class SumsReader {
   public:
     // False where the word is older than one that was heard.
-    bool hear(const std::string& aggregator, std::uint64_t life, const weft::FleetSums& sums, weft::Counts* counts);
+    bool hear(const std::string& aggregator, std::uint64_t life, const weft::FleetSums& sums,
+              weft::Counts* counts);
     // The best sight among aggregators heard since `since`; all zero where there is none.
     SumsTeller::Sight sight(pith::Micros since) const;
     void heard(pith::Micros now, const std::string& aggregator, const weft::FleetSums& sums);
 
   private:
     struct Customer {
-        std::uint32_t raw = 0;     // as told last
+        std::uint32_t raw = 0;      // as told last
         std::uint64_t aligned = 0;  // on the common scale
     };
     struct Aggregator {
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -101,6 +101,10 @@
     pith::Micros nap() const { return quiet_ ? t_.nap : t_.counts_soon; }
     pith::Micros soon() const { return t_.counts_soon; }
     const consensus::Follower& follower() const { return follower_; }
+    // How counts reach this proxy and leave it, for operators: "direct", "aggregator" or "aggregated".
+    const char* counts_way() const;
+    pith::Micros listing_age(pith::Micros now) const { return listing_.age(now); }
+    std::uint64_t relayed_words() const { return relayed_; }  // counts that were heard through others
     // What is sensed of the others: of each by itself, or of all together as aggregators tell it.
     const tide::Tally& tally() const { return told_sums() ? sums_tally_ : tally_; }
     const std::map<std::string, tide::Worst>& worst() const { return worst_; }
@@ -177,7 +181,7 @@
     std::string pulled_from_;
     pith::Micros next_pull_ = 0, pull_until_ = 0;
     bool pull_whole_ = false, peer_next_ = false;
-    std::uint64_t counts_seq_ = 0, refused_ = 0;
+    std::uint64_t counts_seq_ = 0, refused_ = 0, relayed_ = 0;
     tide::Standing standing_ = tide::Standing::floor;
     bool lonely_ = false, quiet_ = false;
     std::vector<std::string> silent_;           // as told last
--- a/packages/span/include/span/counts_relay.hpp
+++ b/packages/span/include/span/counts_relay.hpp
@@ -1,9 +1,10 @@
 #pragma once
-// Counts of a peer that this proxy does not hear itself, had through others that do (docs/design.md 6.5, "Heard through
-// others"). Hearing is not transitive: of two nodes that a cut parts, most of the fleet may go on hearing both.
+// Counts of a peer that this proxy does not hear itself, had through others that do (docs/design.md 6.5,
+// "Heard through others"). Hearing is not transitive: of two nodes that a cut parts, most of the fleet may go
+// on hearing both.
 //
-// Asking side: names the peers that are missed to a few that are heard, again and again while they are missed.
-// Passing side: sends each word of a named peer on, until the asking has stopped for `hold`.
+// Asking side: names the peers that are missed to a few that are heard, again and again while they are
+// missed. Passing side: sends each word of a named peer on, until the asking has stopped for `hold`.
 #include <map>
 #include <set>
 #include <string>
@@ -30,7 +31,8 @@
         std::vector<std::string> helpers;
         weft::RelayAsk message;
     };
-    Ask ask(pith::Micros now, const std::vector<std::string>& missed, const std::vector<std::string>& in_reach);
+    Ask ask(pith::Micros now, const std::vector<std::string>& missed,
+            const std::vector<std::string>& in_reach);
     // Somebody misses these peers.
     void asked(pith::Micros now, const std::string& by, const std::vector<std::string>& peers);
     // Who is to be sent what `peer` just said.
--- a/packages/span/include/span/listing_duty.hpp
+++ b/packages/span/include/span/listing_duty.hpp
@@ -1,9 +1,11 @@
 #pragma once
-// Keeps this proxy's listing of servers as new as the platform's, together with the other proxies (docs/design.md 7.2).
+// Keeps this proxy's listing of servers as new as the platform's, together with the other proxies
+// (docs/design.md 7.2).
 //
-// One proxy, the first in the duty's order, asks the platform each period and tells all what changed, or that nothing did.
-// Every proxy knows how old its listing is. Where it hears of no newer asking it asks by itself, each a little later than
-// the one before it in the order: so the loss of any one node, at any moment, costs a fraction of a period.
+// One proxy, the first in the duty's order, asks the platform each period and tells all what changed, or that
+// nothing did. Every proxy knows how old its listing is. Where it hears of no newer asking it asks by itself,
+// each a little later than the one before it in the order: so the loss of any one node, at any moment, costs
+// a fraction of a period.
 #include <map>
 #include <string>
 #include <vector>
@@ -19,21 +21,24 @@
   public:
     struct Tuning {
         pith::Micros period = pith::kSecond;  // between two questions of the first in the order
-        // In a large fleet a listing takes long to read and to reach all; what leaves is to be known within 2 s all the same.
+        // In a large fleet a listing takes long to read and to reach all; what leaves is to be known within 2
+        // s all the same.
         pith::Micros period_large = 600 * pith::kMilli;
-        pith::Micros grace = 150 * pith::kMilli;        // beyond the period, before the second in the order asks
-        pith::Micros step = 100 * pith::kMilli;         // from one to the next in the order
-        std::size_t steps = 8;                          // behind so many all ask at once, and seldom
-        pith::Micros ask_again = 300 * pith::kMilli;    // for a listing that others have
-        pith::Micros confirm_after = 200 * pith::kMilli;  // a changed listing was told: who missed it asks for it
-        pith::Micros without = pith::kSecond;           // between questions to control nodes, while there is no listing
+        pith::Micros grace = 150 * pith::kMilli;  // beyond the period, before the second in the order asks
+        pith::Micros step = 100 * pith::kMilli;   // from one to the next in the order
+        std::size_t steps = 8;                    // behind so many all ask at once, and seldom
+        pith::Micros ask_again = 300 * pith::kMilli;  // for a listing that others have
+        pith::Micros confirm_after =
+            200 * pith::kMilli;  // a changed listing was told: who missed it asks for it
+        pith::Micros without =
+            pith::kSecond;  // between questions to control nodes, while there is no listing
     };
     ListingDuty(const Tuning& tuning, knell::Knell* members, Pool* pool)
         : tuning_(tuning), members_(members), pool_(pool) {}
 
     struct Surroundings {
         bool large_fleet = false;
-        bool may_ask = false;  // this proxy knows the control side
+        bool may_ask = false;                              // this proxy knows the control side
         std::map<std::string, std::string> control_nodes;  // addresses by name
     };
     // True where the platform is to be asked now; then listed() or failed() follows.
@@ -43,7 +48,8 @@
 
     // False where it is refused as older than what is known.
     bool hear(pith::Micros now, const std::string& from, const weft::Listing& told);
-    void hear(pith::Micros now, const std::string& from, const weft::ListingConfirmed& confirmed, weft::Out* out);
+    void hear(pith::Micros now, const std::string& from, const weft::ListingConfirmed& confirmed,
+              weft::Out* out);
     void hear(const std::string& from, const weft::ListingAsk& ask, weft::Out* out) const;
 
     bool known() const { return listing_.epoch != 0; }
--- a/packages/span/src/aggregation.cpp
+++ b/packages/span/src/aggregation.cpp
@@ -10,7 +10,8 @@
 using pith::Micros;
 
 namespace {
-constexpr double kTellOf = 0.5;  // of what one node may release unheard: a sum that moved by so much is told soon
+constexpr double kTellOf =
+    0.5;  // of what one node may release unheard: a sum that moved by so much is told soon
 constexpr std::uint32_t kMostBrief = 65535;      // what a rate or a queue takes in a BriefCount
 constexpr std::uint32_t kHalf = UINT32_MAX / 2;  // a step by more is a step back
 
@@ -40,7 +41,8 @@
         names_.insert(name);
         zones_[name] = zone;
     };
-    for (const auto* member : members.live("proxy")) add(member->rec.name, member->rec.address, member->rec.locality);
+    for (const auto* member : members.live("proxy"))
+        add(member->rec.name, member->rec.address, member->rec.locality);
     if (members.role() == "proxy") add(members.name(), members.own_address(), members.locality());
 }
 
@@ -52,6 +54,7 @@
     std::sort(order.begin(), order.end());
     if (order.size() > kEach) order.resize(kEach);
     std::vector<std::string> names;
+    names.reserve(order.size());
     for (const auto& entry : order) names.push_back(entry.second);
     return names;
 }
@@ -89,10 +92,11 @@
         const double released = total(customer, tally) - own.passed;
         const double rate = static_cast<double>(customer.rec.rate_milli) / 1000 + tally.rate(name) - own.rate;
         const double queued = static_cast<double>(customer.rec.queued) + tally.queued(name) - own.queued;
-        weft::put_brief(&sums.brief,
-                        {weft::brief_hash(name),
-                         static_cast<std::uint32_t>(static_cast<std::uint64_t>(std::llround(std::max(0.0, released)))),
-                         brief(rate * 10), brief(queued)});
+        weft::put_brief(
+            &sums.brief,
+            {weft::brief_hash(name),
+             static_cast<std::uint32_t>(static_cast<std::uint64_t>(std::llround(std::max(0.0, released)))),
+             brief(rate * 10), brief(queued)});
     }
     return sums;
 }
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -268,6 +268,11 @@
     spread_counts(c, d);
 }
 
+const char* ProxyCore::counts_way() const {
+    if (!aggregators_.in_use()) return "direct";
+    return told_sums() ? "aggregated" : "aggregator";
+}
+
 void ProxyCore::spread_counts(const weft::Counts& c, Todo* d) {
     if (!aggregators_.in_use()) {
         spread(c, d, false);
@@ -409,6 +414,7 @@
 // As if it had come straight, but for the sight: whom we hear ourselves is another matter.
 void ProxyCore::hear_relayed(Micros now, const weft::RelayedCounts& relayed) {
     if (relayed.origin == knell_.name()) return;
+    ++relayed_;
     const auto sensed = tally_.hear(now, relayed.origin, relayed.inc, relayed.counts);
     if (!told_sums()) basin_->sense(now, sensed, tally_);
 }
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -19,12 +19,14 @@
 }
 
 bool ListingDuty::same(const weft::ServerRec& a, const weft::ServerRec& b) {
-    return a.address == b.address && a.service == b.service && a.instance == b.instance && a.state == b.state &&
-           a.locality == b.locality && a.slots == b.slots && a.version == b.version;  // cold_us runs down by itself
+    return a.address == b.address && a.service == b.service && a.instance == b.instance &&
+           a.state == b.state && a.locality == b.locality && a.slots == b.slots &&
+           a.version == b.version;  // cold_us runs down by itself
 }
 
-// The duty's order, with neighbours in different zones as far as there are any, so that those next in turn do not go
-// with the first. In a large fleet those beside a control node come before all others: their links are wide.
+// The duty's order, with neighbours in different zones as far as there are any, so that those next in turn do
+// not go with the first. In a large fleet those beside a control node come before all others: their links are
+// wide.
 std::size_t ListingDuty::rank() const {
     auto order = members_->order(kDuty, "proxy");
     if (large_fleet_) {
@@ -36,6 +38,7 @@
     }
     std::map<std::string, std::size_t> round;  // by zone: how many of it came before
     std::vector<std::pair<std::size_t, const weft::MemberRec*>> by_round;
+    by_round.reserve(order.size());
     for (const auto& member : order) by_round.emplace_back(round[member.locality]++, &member);
     if (!large_fleet_)
         std::stable_sort(by_round.begin(), by_round.end(),
@@ -45,7 +48,8 @@
     return order.size() + 1;
 }
 
-// Whether this proxy is to ask now: the first in the order each period, any other where it hears of no newer asking.
+// Whether this proxy is to ask now: the first in the order each period, any other where it hears of no newer
+// asking.
 bool ListingDuty::due(Micros now) const {
     const Micros period = large_fleet_ ? tuning_.period_large : tuning_.period;
     if (age(now) < period) return false;
@@ -131,7 +135,8 @@
     } else if (!(held() < wanted_)) {
         confirmed_at_ = wanted_at_;
     } else {
-        // Passed on, and perhaps long ago: the first in the order asks at once, the others wait to hear of it.
+        // Passed on, and perhaps long ago: the first in the order asks at once, the others wait to hear of
+        // it.
         confirmed_at_ = -pith::kNever;
         could_ask_since_ = next_question_ = now;
     }
@@ -175,7 +180,8 @@
         }
     }
     seek_elsewhere_ = !seek_elsewhere_;
-    if (!to.empty()) out->push_back({to, weft::ListingAsk{listing_.epoch, listing_.version, listing_.holder}});
+    if (!to.empty())
+        out->push_back({to, weft::ListingAsk{listing_.epoch, listing_.version, listing_.holder}});
 }
 
 void ListingDuty::hear(const std::string& from, const weft::ListingAsk& ask, weft::Out* out) const {
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -145,6 +145,10 @@
             standing_ = core_->standing();
             log_event(Level::warn, "standing", {{"now", tide::standing_text(standing_)}});
         }
+        if (core_->counts_way() != counts_way_) {
+            counts_way_ = core_->counts_way();
+            log_event(Level::info, "counts_way", {{"now", counts_way_}});
+        }
         tick_in(core_->nap());
     }
     void tick_in(Micros d) {  // the one that was due before is dropped
@@ -266,6 +270,10 @@
 
     void desk();
     std::string metrics();
+    // At most an hour: a listing that was never confirmed has no age.
+    std::int64_t listing_age_ms() const {
+        return std::min<Micros>(core_->listing_age(pith::mono_now()), 3600 * pith::kSecond) / pith::kMilli;
+    }
     json::object status();
 
     pith::Kernel& kernel_;
@@ -283,6 +291,7 @@
     bool draining_ = false, held_ = false;  // held: operators want no new callers here
     Micros next_sweep_ = 0, next_tick_ = 0;
     tide::Standing standing_ = tide::Standing::floor;
+    std::string counts_way_ = "direct";
     pith::Seldom list_seldom_{10 * pith::kSecond};
 };
 
@@ -299,6 +308,8 @@
     o["draining"] = draining_ || held_;
     o["standing"] = tide::standing_text(core_->standing());
     o["in_flight"] = hall_.in_flight.load();
+    o["counts_way"] = core_->counts_way();
+    o["listing_age_ms"] = listing_age_ms();
     o["listing_epoch"] = hall_.pool.epoch();
     o["listing_version"] = hall_.pool.version();
     return o;
@@ -338,6 +349,10 @@
           static_cast<double>(l.unsent));
     m.add("frames_heard_total", "counter", "frames from partners", "", static_cast<double>(l.heard));
     m.add("frames_dropped_total", "counter", "frames that did not check", "", static_cast<double>(l.dropped));
+    m.add("relayed_counts_total", "counter", "counts of peers heard through others", "",
+          static_cast<double>(core_->relayed_words()));
+    m.add("listing_age_seconds", "gauge", "since the platform was last known to say what is held of its servers", "",
+          static_cast<double>(listing_age_ms()) / 1000);
     const auto v = hall_.basin.view();
     auto lab = [](const std::string& c) { return "customer=\"" + c + "\""; };
     for (const auto& w : core_->worst())
--- a/packages/span/test/aggregation.cpp
+++ b/packages/span/test/aggregation.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE span_aggregation
-// Counts through aggregators (docs/design.md 7.8): who aggregates, what the sums hold, and one scale for several.
+// Counts through aggregators (docs/design.md 7.8): who aggregates, what the sums hold, and one scale for
+// several.
 #include "span/aggregation.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -174,7 +175,8 @@
     SumsReader reader;
     total_after(&reader, "x", 1, sums(1, UINT32_MAX - 4));
     BOOST_TEST(total_after(&reader, "x", 1, sums(2, 5)) == 10u);
-    BOOST_TEST(total_after(&reader, "x", 1, sums(3, 1)) == 10u);  // a step back: a partner was forgotten there
+    BOOST_TEST(total_after(&reader, "x", 1, sums(3, 1)) ==
+               10u);  // a step back: a partner was forgotten there
     BOOST_TEST(total_after(&reader, "x", 1, sums(4, 3)) == 12u);
 }
 
--- a/packages/span/test/counts_relay.cpp
+++ b/packages/span/test/counts_relay.cpp
@@ -27,7 +27,8 @@
     BOOST_TEST(relay.ask(kSecond, missed, {"a"}).message.peers == (std::vector<std::string>{"x", "y"}),
                boost::test_tools::per_element());
     BOOST_TEST(relay.ask(kSecond + 249 * kMilli, missed, {"a"}).helpers.empty());
-    BOOST_TEST(relay.ask(kSecond + 250 * kMilli, missed, {"a"}).message.peers == (std::vector<std::string>{"z", "x"}),
+    BOOST_TEST(relay.ask(kSecond + 250 * kMilli, missed, {"a"}).message.peers ==
+                   (std::vector<std::string>{"z", "x"}),
                boost::test_tools::per_element());
     BOOST_TEST(relay.ask(2 * kSecond, {}, {"a"}).helpers.empty());
     BOOST_TEST(relay.ask(3 * kSecond, missed, {}).helpers.empty());
--- a/packages/span/test/listing_duty.cpp
+++ b/packages/span/test/listing_duty.cpp
@@ -1,13 +1,15 @@
 #define BOOST_TEST_MODULE span_listing_duty
-// The listing over a whole fleet (docs/design.md 7.2): whichever node is lost, at whatever moment of a period, a server
-// that the platform shows as leaving is known to all others in time. Prints how long it took at the most.
+// The listing over a whole fleet (docs/design.md 7.2): whichever node is lost, at whatever moment of a
+// period, a server that the platform shows as leaving is known to all others in time. Prints how long it took
+// at the most.
+#include "span/listing_duty.hpp"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <queue>
 
 #include "pith/hash.hpp"
-#include "span/listing_duty.hpp"
 
 using namespace span;
 using pith::kMilli;
@@ -34,7 +36,8 @@
             auto node = std::make_unique<Node>();
             node->members = std::make_unique<knell::Knell>(config);
             node->pool = std::make_unique<Pool>(config.name, config.locality, PoolTuning{});
-            node->duty = std::make_unique<ListingDuty>(ListingDuty::Tuning{}, node->members.get(), node->pool.get());
+            node->duty =
+                std::make_unique<ListingDuty>(ListingDuty::Tuning{}, node->members.get(), node->pool.get());
             nodes_.push_back(std::move(node));
             at(static_cast<Micros>(random_.below(kTick)), [this, i] { tick(i); });
         }
@@ -86,7 +89,9 @@
         Micros at;
         std::uint64_t number;
         std::function<void()> act;
-        bool operator<(const Event& other) const { return at != other.at ? at > other.at : number > other.number; }
+        bool operator<(const Event& other) const {
+            return at != other.at ? at > other.at : number > other.number;
+        }
     };
     static std::string name(std::size_t i) { return "p" + std::to_string(i); }
     static weft::ServerRec server() {
@@ -98,7 +103,9 @@
         return record;
     }
     void at(Micros when, std::function<void()> act) { events_.push({when, events_made_++, std::move(act)}); }
-    bool runs(std::size_t i) const { return nodes_[i]->loss != Loss::dead && nodes_[i]->loss != Loss::frozen; }
+    bool runs(std::size_t i) const {
+        return nodes_[i]->loss != Loss::dead && nodes_[i]->loss != Loss::frozen;
+    }
     // One that is half cut off is heard by the odd ones only.
     bool linked(std::size_t from, std::size_t to) const {
         const auto out = nodes_[from]->loss, in = nodes_[to]->loss;
@@ -145,13 +152,15 @@
             node.duty->hear(now_, envelope.from, *listing);
         if (const auto* confirmed = std::get_if<weft::ListingConfirmed>(&envelope.msg))
             node.duty->hear(now_, envelope.from, *confirmed, &out);
-        if (const auto* ask = std::get_if<weft::ListingAsk>(&envelope.msg)) node.duty->hear(envelope.from, *ask, &out);
+        if (const auto* ask = std::get_if<weft::ListingAsk>(&envelope.msg))
+            node.duty->hear(envelope.from, *ask, &out);
         send(i, out);
         look(node);
     }
     void look(Node& node) const {
         const auto& servers = node.duty->newest().servers;
-        if (node.knew_at == pith::kNever && !servers.empty() && servers[0].state == kLeaving) node.knew_at = now_;
+        if (node.knew_at == pith::kNever && !servers.empty() && servers[0].state == kLeaving)
+            node.knew_at = now_;
     }
 
     pith::Rng random_;
@@ -165,7 +174,8 @@
 
 constexpr Micros kSettled = 5 * kSecond;
 
-// The longest time over the moments of a period (each 100 ms, but in a large fleet) at which a server leaves, with the loss a moment before it.
+// The longest time over the moments of a period (each 100 ms, but in a large fleet) at which a server leaves,
+// with the loss a moment before it.
 Micros worst(std::size_t nodes, Loss how, double loss_of_frames) {
     Micros latest = 0;
     const int steps = nodes > 24 ? 5 : 10;  // of a large fleet each takes long to play
@@ -197,8 +207,8 @@
         for (const auto& c : cases)
             for (const double loss : {0.0, 0.05}) {
                 const Micros latest = worst(nodes, c.how, loss);
-                BOOST_TEST_MESSAGE(nodes << " nodes, lost: " << c.text << ", frames lost " << loss << ": known after "
-                                         << latest / 1000 << " ms at the latest");
+                BOOST_TEST_MESSAGE(nodes << " nodes, lost: " << c.text << ", frames lost " << loss
+                                         << ": known after " << latest / 1000 << " ms at the latest");
                 BOOST_TEST(latest < 1800 * kMilli);
             }
 }
