span: a listing for a large fleet is told over wide links only; only a node in good standing asks for pairs

Cause by reading: where confirmations came late over full links, nodes on 2 Mbit/s asked the platform by themselves and told each of 83 others the whole listing, 1.5 MB over 250 KB/s; and each change was asked for again 200 ms after it was told, while it was on its way. Now only proxies beside control nodes tell listings in a large fleet, others ask late and for themselves, and a listing that was told has 400 ms to arrive.

--- a/packages/loom/src/checks.cpp
+++ b/packages/loom/src/checks.cpp
@@ -76,6 +76,7 @@
         ++s_.over_by_chance;
         return;
     }
+
     ++wrongful[why + "/" + where];
     if (t > quiet_from) ++late_refused;
     if (where != "whole" && where != "frozen" && t < quiet_from)
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -128,7 +128,6 @@
     void world(pith::Micros now);
     void hear_counts(pith::Micros now, const weft::Envelope& e, const weft::Counts& said, Todo* d);
     void hear_relayed(pith::Micros now, const weft::RelayedCounts& relayed);
-    void answer_relay_ask(pith::Micros now, const std::string& from, const weft::RelayAsk& ask, Todo* d);
     void ask_for_missed(pith::Micros now, Todo* d);
     void tell_load(pith::Micros now, Todo* d);
     // This proxy hears the others through aggregators, and is none itself.
--- a/packages/span/include/span/listing_duty.hpp
+++ b/packages/span/include/span/listing_duty.hpp
@@ -28,8 +28,16 @@
         pith::Micros step = 100 * pith::kMilli;   // from one to the next in the order
         std::size_t steps = 8;                    // behind so many all ask at once, and seldom
         pith::Micros ask_again = 300 * pith::kMilli;  // for a listing that others have
+        pith::Micros ask_again_large = 600 * pith::kMilli;
+        pith::Micros transfer = 50 * pith::kMilli;  // what was told may be on its way so long
+        pith::Micros transfer_large = 400 * pith::kMilli;
         pith::Micros confirm_after =
             200 * pith::kMilli;  // a changed listing was told: who missed it asks for it
+        pith::Micros confirm_after_large = 500 * pith::kMilli;
+        // A node of a large fleet that is not beside a control node asks for itself alone, where it heard
+        // nothing so long.
+        pith::Micros alone = 3 * pith::kSecond;
+        pith::Micros step_alone = 20 * pith::kMilli;
         pith::Micros without =
             pith::kSecond;  // between questions to control nodes, while there is no listing
     };
@@ -48,8 +56,7 @@
 
     // False where it is refused as older than what is known.
     bool hear(pith::Micros now, const std::string& from, const weft::Listing& told);
-    void hear(pith::Micros now, const std::string& from, const weft::ListingConfirmed& confirmed,
-              weft::Out* out);
+    void hear(pith::Micros now, const std::string& from, const weft::ListingConfirmed& confirmed);
     void hear(const std::string& from, const weft::ListingAsk& ask, weft::Out* out) const;
 
     bool known() const { return listing_.epoch != 0; }
@@ -67,6 +74,8 @@
     Label held() const { return {listing_.epoch, listing_.holder, listing_.version}; }
     std::size_t rank() const;  // of this proxy in the duty's order
     bool due(pith::Micros now) const;
+    bool beside_control_node(const std::string& address) const;
+    bool tells_others() const;
     void seek(pith::Micros now, const Surroundings& around, weft::Out* out);
     void take(pith::Micros now, const weft::Listing& listing);
     void tell(const weft::Msg& message, bool control_nodes_too, weft::Out* out) const;
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -10,7 +10,6 @@
 using pith::Micros;
 
 namespace {
-constexpr Micros kRecentWord = 3 * pith::kSecond;  // what a peer said of a customer since then is passed on
 constexpr char kAllOthers[] = "*";              // all other proxies, as aggregators tell of them
 constexpr std::size_t kMostHigher = 64;  // numbers above ours that are kept in mind
 }  // namespace
@@ -360,7 +359,8 @@
 
 // Peers that are live for the fleet and silent here are asked for of those that are heard (docs/design.md 6.5).
 void ProxyCore::ask_for_missed(Micros now, Todo* d) {
-    if (told_sums()) return;
+    // A pair that is cut is asked for, not the greater part of a fleet: who has lost that keeps to its part anyway.
+    if (told_sums() || standing_ != tide::Standing::whole) return;
     const auto patience = static_cast<Micros>(static_cast<double>(keep_) * t_.relay_after);
     const auto missed = sight_.missed(knell_, now, patience);
     if (missed.empty()) return;
@@ -373,18 +373,6 @@
     for (const auto& helper : ask.helpers) d->out.push_back({knell_.address(helper), ask.message});
 }
 
-// What was heard of them last goes out at once, what they say from now on as it comes.
-void ProxyCore::answer_relay_ask(Micros now, const std::string& from, const weft::RelayAsk& ask, Todo* d) {
-    const std::string to = knell_.address(from);
-    if (to.empty()) return;
-    counts_relay_.asked(now, from, ask.peers);
-    for (const auto& peer : ask.peers) {
-        weft::RelayedCounts relayed;
-        relayed.origin = peer;
-        if (tally_.last_word(peer, now - kRecentWord, &relayed.inc, &relayed.counts)) d->out.push_back({to, relayed});
-    }
-}
-
 void ProxyCore::hear_counts(Micros now, const weft::Envelope& e, const weft::Counts& said, Todo* d) {
     const bool met = tally_.knows(e.from, e.inc);
     const auto sensed = tally_.hear(now, e.from, e.inc, said);
@@ -500,7 +488,7 @@
         return;
     }
     if (const auto* q = std::get_if<weft::RelayAsk>(&e.msg)) {
-        answer_relay_ask(now, e.from, *q, d);
+        counts_relay_.asked(now, e.from, q->peers);
         return;
     }
     if (const auto* l = std::get_if<weft::Load>(&e.msg)) {
@@ -532,7 +520,7 @@
         return;
     }
     if (const auto* c = std::get_if<weft::ListingConfirmed>(&e.msg)) {
-        if (fresh) listing_.hear(now, e.from, *c, &d->out);
+        if (fresh) listing_.hear(now, e.from, *c);
         return;
     }
     if (const auto* q = std::get_if<weft::ListingAsk>(&e.msg)) {
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -24,18 +24,27 @@
            a.version == b.version;  // cold_us runs down by itself
 }
 
+bool ListingDuty::beside_control_node(const std::string& address) const {
+    for (const auto* member : members_->live("keeper"))
+        if (host_of(member->rec.address) == host_of(address)) return true;
+    return false;
+}
+
+// A listing for all of a large fleet fills a narrow link for seconds: only who stands beside a control node
+// tells it.
+bool ListingDuty::tells_others() const {
+    return !large_fleet_ || members_->live("keeper").empty() || beside_control_node(members_->own_address());
+}
+
 // The duty's order, with neighbours in different zones as far as there are any, so that those next in turn do
 // not go with the first. In a large fleet those beside a control node come before all others: their links are
 // wide.
 std::size_t ListingDuty::rank() const {
     auto order = members_->order(kDuty, "proxy");
-    if (large_fleet_) {
-        std::set<std::string> hosts;
-        for (const auto* member : members_->live("keeper")) hosts.insert(host_of(member->rec.address));
-        std::stable_partition(order.begin(), order.end(), [&hosts](const weft::MemberRec& member) {
-            return hosts.count(host_of(member.address)) != 0;
+    if (large_fleet_)
+        std::stable_partition(order.begin(), order.end(), [this](const weft::MemberRec& member) {
+            return beside_control_node(member.address);
         });
-    }
     std::map<std::string, std::size_t> round;  // by zone: how many of it came before
     std::vector<std::pair<std::size_t, const weft::MemberRec*>> by_round;
     by_round.reserve(order.size());
@@ -55,10 +64,12 @@
     if (age(now) < period) return false;
     const std::size_t place = rank();
     if (place == 0) return true;
+    const Micros unheard = now - std::max(confirmed_at_, could_ask_since_);
+    if (!tells_others()) return unheard >= tuning_.alone + static_cast<Micros>(place) * tuning_.step_alone;
     const Micros patience =
         period + tuning_.grace + static_cast<Micros>(std::min(place - 1, tuning_.steps)) * tuning_.step;
     // What was never confirmed is as old as the time since when it could be.
-    return now - std::max(confirmed_at_, could_ask_since_) >= patience;
+    return unheard >= patience;
 }
 
 bool ListingDuty::tick(Micros now, const Surroundings& around, weft::Out* out) {
@@ -107,7 +118,12 @@
     if (equal) {
         // Servers that were missing are let go in time, also where nothing else changes.
         pool_->listing(now, listing_);
-        if (fresh) confirm(out);
+        if (fresh && tells_others()) confirm(out);
+        return;
+    }
+    if (!tells_others() && known()) {  // for this node alone, until it hears the others again
+        listing_.servers = std::move(servers);
+        pool_->listing(now, listing_);
         return;
     }
     weft::Listing next;
@@ -116,8 +132,9 @@
     next.version = next.epoch == listing_.epoch && next.holder == listing_.holder ? listing_.version + 1 : 1;
     next.servers = std::move(servers);
     take(now, next);
+    if (!tells_others()) return;
     tell(listing_, true, out);
-    confirm_due_ = now + tuning_.confirm_after;
+    confirm_due_ = now + (large_fleet_ ? tuning_.confirm_after_large : tuning_.confirm_after);
 }
 
 void ListingDuty::failed(Micros now, Micros retry_after) {
@@ -143,20 +160,20 @@
     return true;
 }
 
-void ListingDuty::hear(Micros now, const std::string& from, const weft::ListingConfirmed& confirmed,
-                       weft::Out* out) {
+void ListingDuty::hear(Micros now, const std::string& from, const weft::ListingConfirmed& confirmed) {
     const Label label{confirmed.epoch, confirmed.holder, confirmed.version};
     if (label < held()) return;
     if (!(held() < label)) {
         confirmed_at_ = now;
         return;
     }
-    if (wanted_ < label) next_seek_ = now;
+    // It may be on its way: a long one over a narrow link takes its time, and must not be sent twice for
+    // that.
+    if (wanted_ < label) next_seek_ = now + (large_fleet_ ? tuning_.transfer_large : tuning_.transfer);
     wanted_ = label;
     wanted_at_ = now;
     wanted_from_ = from;
     seek_elsewhere_ = false;
-    seek(now, {}, out);
 }
 
 // A newer one is asked for until it is there: of who told of it, then of another that has it, by turns.
@@ -166,7 +183,7 @@
         for (const auto& node : around.control_nodes) out->push_back({node.second, weft::ListingAsk{}});
     }
     if (now < next_seek_) return;
-    next_seek_ = now + tuning_.ask_again;
+    next_seek_ = now + (large_fleet_ ? tuning_.ask_again_large : tuning_.ask_again);
     std::string to;
     if (held() < wanted_ && !seek_elsewhere_) to = members_->address(wanted_from_);
     if (to.empty()) {
--- a/packages/span/test/listing_duty.cpp
+++ b/packages/span/test/listing_duty.cpp
@@ -151,7 +151,7 @@
         if (const auto* listing = std::get_if<weft::Listing>(&envelope.msg))
             node.duty->hear(now_, envelope.from, *listing);
         if (const auto* confirmed = std::get_if<weft::ListingConfirmed>(&envelope.msg))
-            node.duty->hear(now_, envelope.from, *confirmed, &out);
+            node.duty->hear(now_, envelope.from, *confirmed);
         if (const auto* ask = std::get_if<weft::ListingAsk>(&envelope.msg))
             node.duty->hear(envelope.from, *ask, &out);
         send(i, out);
--- a/packages/tide/include/tide/tally.hpp
+++ b/packages/tide/include/tide/tally.hpp
@@ -50,8 +50,6 @@
     };
     Share of(const std::string& from, const std::string& customer) const;  // one partner's part of these
     double assumed(const std::string& customer) const;
-    // What a partner counted of the customers that it named since `since`, as it would tell it; false where it is unknown.
-    bool last_word(const std::string& from, pith::Micros since, std::uint64_t* inc, weft::Counts* counts) const;
     void forget(const std::string& from) { p_.erase(from); }  // said it left, all released told
     bool heard_since(const std::string& from, pith::Micros t) const;
     bool knows(const std::string& from, std::uint64_t inc) const {
--- a/packages/tide/src/tally.cpp
+++ b/packages/tide/src/tally.cpp
@@ -129,20 +129,6 @@
     return v;
 }
 
-bool Tally::last_word(const std::string& from, Micros since, std::uint64_t* inc, weft::Counts* counts) const {
-    const auto i = p_.find(from);
-    if (i == p_.end() || i->second.inc == 0) return false;
-    const Partner& p = i->second;
-    *inc = p.inc;
-    counts->seq = p.seq;
-    for (const auto& o : p.by) {
-        if (!o.second.known || o.second.named < since) continue;
-        counts->counts.push_back({o.first, o.second.released, static_cast<std::uint64_t>(o.second.rate * 1000),
-                                  static_cast<std::uint32_t>(o.second.queued)});
-    }
-    return true;
-}
-
 bool Tally::doubts(Micros now) const {
     for (const auto& p : p_)
         if (now - p.second.heard > t_.brief && now - p.second.heard <= t_.lapse) return true;
