--- a/packages/span/test/listing_duty.cpp
+++ b/packages/span/test/listing_duty.cpp
@@ -59,10 +59,7 @@
             if (nodes_[i]->members->mine("listing", "proxy")) return i;
         return 0;
     }
-    void lose(std::size_t i, Loss how) {
-        nodes_[i]->loss = how;
-        lost_at_ = now_;
-    }
+    void lose(std::size_t i, Loss how) { nodes_[i]->loss = how; }
     void leave() {
         servers_[0].state = kLeaving;
         left_at_ = now_;
@@ -168,7 +165,7 @@
     std::vector<std::unique_ptr<Node>> nodes_;
     std::priority_queue<Event> events_;
     std::uint64_t events_made_ = 0, questions_ = 0;
-    Micros now_ = 0, left_at_ = 0, lost_at_ = 0;
+    Micros now_ = 0, left_at_ = 0;
     std::vector<weft::ServerRec> servers_;
 };
 
