span: callers that left, sends on an old listing, who was heard to leave are told

Logs and metrics could not tell the hypotheses of docs/incidents/drain-and-gone.md apart: servers_leaving names the instances, who asked the platform, the listing's label and the age of what was held until then; sent_on_old_listing and a counter tell of sends while that is over 1.5 s; callers_left_total counts by the step at which a caller was found to have left. No decision changes but one word: a caller that left is caller_left, no more late or over_allowance.

--- a/packages/pith/include/pith/error.hpp
+++ b/packages/pith/include/pith/error.hpp
@@ -25,6 +25,7 @@
     X(behind, "behind", 503, true)                    \
     X(crowded, "crowded", 503, true)                  \
     X(late, "late", 504, true)                        \
+    X(caller_left, "caller_left", 503, false)         \
     X(answer_lost, "answer_lost", 502, true)          \
     X(answer_late, "answer_late", 504, true)          \
     X(answer_garbled, "answer_garbled", 502, true)    \
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -104,6 +104,8 @@
     // How counts reach this proxy and leave it, for operators: "direct", "aggregator" or "aggregated".
     const char* counts_way() const;
     pith::Micros listing_age(pith::Micros now) const { return listing_.age(now); }
+    LeavingHeard leaving_news() { return listing_.leaving_news(); }
+    pith::Micros listing_confirmed_at() const { return listing_.confirmed_at(); }
     std::uint64_t relayed_words() const { return relayed_; }  // counts that were heard through others
     // What is sensed of the others: of each by itself, or of all together as aggregators tell it.
     const tide::Tally& tally() const { return told_sums() ? sums_tally_ : tally_; }
--- a/packages/span/include/span/front.hpp
+++ b/packages/span/include/span/front.hpp
@@ -25,6 +25,7 @@
     void visit(Visit& v, boost::asio::ip::tcp::socket& s, Carried* c, boost::asio::yield_context y);
     bool wait_turn(const Entry& e, tide::Id id, const WaiterPtr& w, boost::asio::ip::tcp::socket& s,
                    boost::asio::yield_context y);
+    void caller_left(CallerStep step, Refusal* refusal);  // counts it, and says so
     // Stands in S once more, for a visit whose pass went stale.
     bool another_pass(Entry* e, pith::Micros until, boost::asio::ip::tcp::socket& s,
                       boost::asio::yield_context y);
--- a/packages/span/include/span/hall.hpp
+++ b/packages/span/include/span/hall.hpp
@@ -59,8 +59,15 @@
     std::deque<Trace> t_;
 };
 
+// The step of a request at which its caller was found to have left (docs/design.md 7.9).
+enum class CallerStep { queue, line, connect, before_send, answer };
+constexpr std::array<const char*, 5> kCallerSteps{"queue", "line", "connect", "before_send", "answer"};
+
 struct Tolls {  // counters for /metrics
     std::array<std::atomic<std::uint64_t>, 64> by_kind{};
+    std::array<std::atomic<std::uint64_t>, kCallerSteps.size()> callers_left{};  // by CallerStep
+    std::atomic<std::uint64_t> sends_on_old_listing{0};
+    void caller_left(CallerStep step) { ++callers_left[static_cast<std::size_t>(step)]; }
     std::atomic<std::uint64_t> visits{0}, answered{0}, sends{0}, own_retries{0}, caller_retries{0}, opened{0},
         proofs{0}, proof_failed{0}, reused{0}, unknown{0}, callers{0}, callers_refused{0}, wait_us{0},
         probes{0}, listings{0};
@@ -93,6 +100,9 @@
     // ProxyCore::behind_until(), monotonic; it is to be set after policy(), so that no refusal by an older
     // bundle slips through between the two.
     std::atomic<pith::Micros> behind_until{0};
+    // When the platform was asked last, as far as this node knows, monotonic: how old the knowledge is by which servers
+    // are chosen (docs/design.md 7.2).
+    std::atomic<pith::Micros> servers_known_at{-pith::kNever};
     std::atomic<int> in_flight{0};
     std::function<void()> arm;  // starts the ticker where it rests
 
--- a/packages/span/include/span/listing_duty.hpp
+++ b/packages/span/include/span/listing_duty.hpp
@@ -17,6 +17,14 @@
 
 namespace span {
 
+// Servers that were just learnt to leave, for operators' logs.
+struct LeavingHeard {
+    std::vector<std::string> instances;
+    std::string from;           // who asked the platform
+    pith::Micros held_for = 0;  // since the platform had last said what was held until then
+    std::uint64_t epoch = 0, version = 0;
+};
+
 class ListingDuty {
   public:
     struct Tuning {
@@ -59,10 +67,13 @@
     void hear(pith::Micros now, const std::string& from, const weft::ListingConfirmed& confirmed);
     void hear(const std::string& from, const weft::ListingAsk& ask, weft::Out* out) const;
 
+    LeavingHeard leaving_news();  // since the last call
+
     bool known() const { return listing_.epoch != 0; }
     const weft::Listing& newest() const { return listing_; }
     // How long ago the platform said what is held, as far as is known.
     pith::Micros age(pith::Micros now) const { return now - confirmed_at_; }
+    pith::Micros confirmed_at() const { return confirmed_at_; }
 
   private:
     struct Label {
@@ -78,6 +89,7 @@
     bool tells_others() const;
     void seek(pith::Micros now, const Surroundings& around, weft::Out* out);
     void take(pith::Micros now, const weft::Listing& listing);
+    void note_leaving(pith::Micros now, const weft::Listing& newest);
     void tell(const weft::Msg& message, bool control_nodes_too, weft::Out* out) const;
     void confirm(weft::Out* out) const;
     static bool same(const weft::ServerRec& a, const weft::ServerRec& b);
@@ -100,6 +112,7 @@
     pith::Micros next_seek_ = 0, next_without_ = 0;
     bool seek_elsewhere_ = false;
     pith::Micros confirm_due_ = pith::kNever;
+    LeavingHeard leaving_heard_;
 };
 
 }  // namespace span
--- a/packages/span/include/span/relay.hpp
+++ b/packages/span/include/span/relay.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "pith/log.hpp"
 #include "span/errand.hpp"
 #include "span/hall.hpp"
 
@@ -80,6 +81,7 @@
     static void idle_time(const Reply& in, Session* s);
     void wait_in_line(const Plan& p, pith::Micros until, boost::asio::yield_context y);
     void keep(const Slot& s, std::unique_ptr<Session> x);
+    void note_listing_age(const Slot& server);
     static std::string key(const Slot& s) { return s.address + ' ' + s.instance + ' ' + s.service; }
 
     boost::asio::io_context& io_;
@@ -87,6 +89,7 @@
     std::map<std::string, std::deque<std::unique_ptr<Session>>> idle_;
     std::set<Session*> busy_;
     bool given_up_ = false;
+    pith::Seldom old_listing_seldom_{pith::kSecond};
 };
 
 // Header fields that belong to one hop only, RFC 9110 7.6.1.
--- a/packages/span/src/front.cpp
+++ b/packages/span/src/front.cpp
@@ -82,7 +82,7 @@
 }
 
 // The caller's session closed while its visit waited.
-bool caller_left(tcp::socket& s) {
+bool connection_ended(tcp::socket& s) {
     char c;
     const auto n = ::recv(s.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
@@ -107,7 +107,7 @@
     // A caller who goes away takes its visit out of the queue.
     auto watching = std::make_shared<bool>(true);
     s.async_wait(tcp::socket::wait_read, [w, watching, &s](boost::system::error_code ec) {
-        if (*watching && !ec && caller_left(s)) w->wake(Waiter::gone);
+        if (*watching && !ec && connection_ended(s)) w->wake(Waiter::gone);
     });
     for (;;) {
         // The network tells; the timer only stands in where that fails.
@@ -126,13 +126,22 @@
     return w->state() == Waiter::released;
 }
 
+void Worker::caller_left(CallerStep step, Refusal* refusal) {
+    hall_.tolls.caller_left(step);
+    refusal->error = {Kind::caller_left, "its caller left before it was sent: nothing was run"};
+    refusal->retry_after = 0;
+}
+
 bool Worker::another_pass(Entry* e, Micros until, tcp::socket& s, asio::yield_context y) {
     auto w = std::make_shared<Waiter>(io);
     const tide::Id id = hall_.enter(w);
     const bool in = hall_.basin.again(pith::mono_now(), e->plan.customer, id, until);
     const bool came = in && wait_turn(*e, id, w, s, y);
     hall_.leave(id);
-    if (!came) hall_.lobby.not_released(e);
+    if (w->state() == Waiter::gone)
+        caller_left(CallerStep::queue, &e->refusal);
+    else if (!came)
+        hall_.lobby.not_released(e);
     return came && hall_.lobby.released(pith::mono_now(), e);
 }
 
@@ -152,7 +161,10 @@
     // Its release is to be told soon; with a tolerance the next tick is soon enough (docs/design.md 6.4).
     if (e.released && !hall_.basin.tolerant() && hall_.arm) hall_.arm();
     if (e.queued && !wait_turn(e, id, w, s, y)) {
-        hall_.lobby.not_released(&e);
+        if (w->state() == Waiter::gone)
+            caller_left(CallerStep::queue, &e.refusal);
+        else
+            hall_.lobby.not_released(&e);
         go = false;
     }
     hall_.leave(id);
@@ -177,8 +189,8 @@
             [&](Refusal* r) {
                 if (!hall_.lobby.allowed(pith::mono_now(), &e, r)) return false;
                 // Whoever went away may have asked again elsewhere, as after a standstill of this process.
-                if (!e.plan.write || !relay.rules.write_needs_caller || !caller_left(s)) return true;
-                r->error = {Kind::late, "its caller went away before it was sent: nothing was run"};
+                if (!e.plan.write || !relay.rules.write_needs_caller || !connection_ended(s)) return true;
+                caller_left(CallerStep::before_send, r);
                 return false;
             },
             c, y);
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -99,6 +99,7 @@
 }
 
 void ListingDuty::take(Micros now, const weft::Listing& listing) {
+    note_leaving(now, listing);
     listing_ = listing;
     auto& freight = members_->freight();
     freight.list_epoch = listing.epoch;
@@ -106,6 +107,27 @@
     pool_->listing(now, listing_);
 }
 
+// What the newest listing shows as leaving, or no longer shows, in place of what is held.
+void ListingDuty::note_leaving(Micros now, const weft::Listing& newest) {
+    std::set<std::pair<std::string, std::string>> serving;
+    for (const auto& server : newest.servers)
+        if (server.state == kServing) serving.insert({server.address, server.instance});
+    leaving_heard_ = {};
+    for (const auto& server : listing_.servers)
+        if (server.state == kServing && serving.count({server.address, server.instance}) == 0)
+            leaving_heard_.instances.push_back(server.instance);
+    leaving_heard_.from = newest.holder;
+    leaving_heard_.held_for = now - confirmed_at_;
+    leaving_heard_.epoch = newest.epoch;
+    leaving_heard_.version = newest.version;
+}
+
+LeavingHeard ListingDuty::leaving_news() {
+    LeavingHeard news;
+    std::swap(news, leaving_heard_);
+    return news;
+}
+
 void ListingDuty::listed(Micros now, std::vector<weft::ServerRec> servers, weft::Out* out) {
     asking_ = false;
     if (servers.empty() && !listing_.servers.empty()) return;  // an empty listing never wipes what is known
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -159,8 +159,25 @@
         });
     }
 
+    void log_leaving() {
+        const auto heard = core_->leaving_news();
+        if (heard.instances.empty()) return;
+        constexpr std::size_t kMostNamed = 16;
+        std::string named;
+        for (std::size_t i = 0; i < heard.instances.size() && i < kMostNamed; ++i)
+            named += (i == 0 ? "" : ",") + heard.instances[i];
+        log_event(Level::info, "servers_leaving",
+                  {{"count", heard.instances.size()},
+                   {"instances", named},
+                   {"asked_by", heard.from},
+                   {"epoch", heard.epoch},
+                   {"version", heard.version},
+                   {"known_before_ms", heard.held_for / pith::kMilli}});
+    }
+
     void carry_out(Todo& d) {
         ctl_->send(d.out);
+        log_leaving();
         hall_.left(d.left);
         if (d.policy) {
             hall_.policy(core_->policy());
@@ -168,6 +185,7 @@
                       {{"number", core_->policy()->number()},
                        {"hash", core_->policy()->bundle().hash.substr(0, 16)}});
         }
+        hall_.servers_known_at = core_->listing_confirmed_at();
         hall_.behind_until = core_->behind_until();  // after the policy: no refusal out of the older one slips through
         if (d.list)
             asio::spawn(
@@ -343,6 +361,11 @@
     m.add("callers", "gauge", "callers' sessions open", "", n(t.callers));
     m.add("callers_refused_total", "counter", "callers' sessions over the limit", "", n(t.callers_refused));
     const auto& l = ctl_->link.tally();
+    for (std::size_t i = 0; i < t.callers_left.size(); ++i)
+        m.add("callers_left_total", "counter", "requests whose caller was found to have left, by step",
+              std::string("step=\"") + kCallerSteps[i] + "\"", n(t.callers_left[i]));
+    m.add("sends_on_old_listing_total", "counter", "requests sent while the listing was over 1.5 s old", "",
+          n(t.sends_on_old_listing));
     m.add("frames_sent_total", "counter", "frames to partners", "", static_cast<double>(l.sent));
     m.add("frames_sent_bytes_total", "counter", "bytes to partners", "", static_cast<double>(l.sent_bytes));
     m.add("frames_unsent_total", "counter", "frames that a partner could not take", "",
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/json.hpp>
 
+#include "pith/log.hpp"
 #include "weft/desk.hpp"
 
 namespace span {
@@ -22,6 +23,7 @@
 constexpr std::size_t kKeepSessions = 4;  // idle ones to one server, of one worker
 constexpr Micros kIdleFor = 20 * pith::kSecond;
 constexpr Micros kProveIn = 1500 * pith::kMilli;
+constexpr Micros kOldListing = 1500 * pith::kMilli;  // of the 2 s in which a leaving server is to be left alone
 constexpr int kMostAnswers = 8;  // read for one request: interim ones, late ones to other requests, its own
 
 std::chrono::steady_clock::time_point at(Micros t) {
@@ -337,6 +339,7 @@
             continue;
         }
         if (e.sends() > 1) ++hall_.tolls.own_retries;
+        note_listing_age(s);
         bool sound = false;
         busy_.insert(x.get());
         const Step st = exchange(*x, p, s, v, e.until(), &c->reply, &sound, y);
@@ -357,6 +360,22 @@
     c->trace.took = pith::mono_now() - began;
 }
 
+// What is sent by old knowledge may reach a server that the platform shows as leaving: it is counted and told.
+void Relay::note_listing_age(const Slot& server) {
+    const Micros age = pith::mono_now() - hall_.servers_known_at;
+    if (age < kOldListing || hall_.servers_known_at < 0) return;
+    ++hall_.tolls.sends_on_old_listing;
+    std::uint64_t held = 0;
+    if (!old_listing_seldom_.pass(pith::mono_now(), &held)) return;
+    pith::log_event(pith::Level::warn, "sent_on_old_listing",
+                    {{"age_ms", age / pith::kMilli},
+                     {"server", server.address},
+                     {"instance", server.instance},
+                     {"epoch", hall_.pool.epoch()},
+                     {"version", hall_.pool.version()},
+                     {"held", held}});
+}
+
 void Relay::give_up() {
     given_up_ = true;
     for (auto* x : busy_) x->stream.cancel();
