--- a/packages/span/test/gateway_under_test.hpp
+++ b/packages/span/test/gateway_under_test.hpp
@@ -106,6 +106,17 @@
         boost::system::error_code ec;
         socket_.close(ec);
     }
+    /// Ends the connection by a reset.
+    void reset() {
+        boost::system::error_code ec;
+        socket_.set_option(asio::socket_base::linger(true, 0), ec);
+        socket_.close(ec);
+    }
+    /// Ends its own direction only, and could still read an answer.
+    void half_close() {
+        boost::system::error_code ec;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    }
     /// Bytes that came beyond the answers that were read.
     std::size_t unread() {
         boost::system::error_code ec;
