loom: links have a width and a queue, and 84 proxies over links of 2 Mbit/s

No test filled a link. LinkWidths serves each direction of a machine's link in order at its rate; datagrams are dropped where the queue is full, streams wait; requests and answers take their share. A send to a leaving server is judged as it arrives there, what lay in the sender's link included; a machine whose link made anything wait over half a second is not in touch. New casts: releases (eight servers a second), burst. narrow84: 84 proxies, 226 servers.

--- a/packages/loom/include/loom/scenario.hpp
+++ b/packages/loom/include/loom/scenario.hpp
@@ -16,6 +16,8 @@
     std::map<std::string, double> worst_by;
     std::uint64_t counts = 0, count_bytes = 0;  // frames of counts between proxies
     Micros latest_to_leaving = 0;  // a send to a server that the platform's listing showed as leaving, at the latest
+    std::uint64_t dropped = 0;  // datagrams, by links that were full
+    Micros longest_wait = 0;    // of anything at a link
     std::uint64_t frames = 0, probes = 0, sessions = 0, listings = 0, acked = 0;
     std::string line() const;  // one line; the same seed gives the same line
 };
--- a/packages/loom/include/loom/world.hpp
+++ b/packages/loom/include/loom/world.hpp
@@ -12,6 +12,7 @@
 
 #include "consensus/control_node.hpp"
 #include "loom/checks.hpp"
+#include "loom/link_widths.hpp"
 #include "pith/hash.hpp"
 #include "span/core.hpp"
 #include "span/errand.hpp"
@@ -44,6 +45,9 @@
     bool shared_hosts = false;        // the first proxies stand on the control nodes' machines
     bool servers_say_leaving = true;  // in probes and answers; else only the platform's listing shows it
     double over = 0;              // the operators' tolerance: tide::Tuning
+    // Links of machines without a control node, and of those with one, bytes a second; 0: no limit.
+    double narrow_link = 0, wide_link = 0;
+    std::size_t request_bytes = 700, answer_bytes = 2300;  // of a visit, with heads; where links have widths
     bool discovered = false;  // no keepers are listed (docs/control.md); seeds are the first three proxies
     int spares = 0;           // keepers beyond those, started later, with first_start off
     Micros reads_every = 400 * pith::kMilli;  // operators' reads, at any control node; 0: none
@@ -52,6 +56,7 @@
 Deployment firm();
 Deployment foundation();
 Deployment wide(int proxies);  // bursts and a tolerance, links across zones
+Deployment narrow(int proxies);  // the same over short links of 2 Mbit/s, with 2.7 servers and 15 visits a second for each
 
 struct Breaks {  // rules broken on purpose, to prove the checkers
     bool send_writes_twice = false, lying_disk = false, ignore_partners = false, slip_back = false,
@@ -162,6 +167,7 @@
     std::uint64_t push(const std::string& keeper, std::uint64_t number, const std::string& note,
                        const Edit& e = {});
     std::uint64_t read(const std::string& keeper);
+    const LinkWidths& links() const { return links_; }
     const OperatorCall& call(std::uint64_t op) const { return calls_[op - 1]; }
     const std::vector<OperatorCall>& calls() const { return calls_; }
     // What operators were told of their pushes, by the order of pushes: "ok NUMBER", or the kind.
@@ -178,7 +184,7 @@
     bool runs_well(const std::string& node) const;
     bool linked(const std::string& a, const std::string& b) const;  // both ways
     bool takes_callers(const std::string& proxy) const;             // as the proxy itself says
-    // Up, awake and linked to all, and so for a while.
+    // Up, awake, its link not choked and linked to all, and so for a while.
     bool in_touch(const std::string& node) const;
 
     std::vector<std::string> names(const std::string& role) const;
@@ -214,6 +220,11 @@
     }
     void on_node(const std::string& name, std::uint64_t life, std::function<void(Node&)> f);
     void send(Node& n, const weft::Out& out);
+    std::string machine(const std::string& node) const;  // the one that it shares its link with
+    void set_link_widths();
+    // How long a visit's bytes take over the link of a node's machine, waiting included.
+    Micros bytes_out(const std::string& node, std::size_t bytes);
+    Micros bytes_in(const std::string& node, std::size_t bytes);
     void carry(Node& n, span::Todo& d);
     void carry(Node& n, consensus::Actions& actions);
     void tick(const std::string& name, std::uint64_t life);
@@ -247,7 +258,7 @@
     void note_decided(Node& n);
     void take_answer(const std::string& node, const consensus::Answer& answer);
     bool says_leaving(const Server& s) const;
-    void judge_leaving(const Node& n, const Server& s);
+    void judge_leaving(const std::string& node, const Server& s);
     void judge_acknowledged(std::uint64_t number, const std::string& hash);
     std::size_t copies(const std::vector<weft::Voter>& voters, std::uint64_t number,
                        const std::string& hash) const;
@@ -277,6 +288,7 @@
     std::uint64_t disks_ = 0;
     weft::ControlState newest_;
     std::set<std::pair<std::string, std::string>> cut_;
+    LinkWidths links_;
     std::vector<std::unique_ptr<Server>> s_;
     double loss_ = 0, twice_ = 0;
     Micros extra_ = 0, list_lag_ = 0;
--- a/packages/loom/src/deployments.cpp
+++ b/packages/loom/src/deployments.cpp
@@ -58,4 +58,20 @@
     return d;
 }
 
+Deployment narrow(int proxies) {
+    Deployment d = wide(proxies);
+    d.link = kMilli;
+    d.jitter = kMilli;
+    d.servers = proxies * 27 / 10;
+    d.narrow_link = 250e3;  // 2 Mbit/s
+    d.wide_link = 12.5e6;
+    d.answer_bytes = 5000;
+    for (auto& c : d.customers) {
+        c.rate *= 3;
+        c.allowance *= 3;
+        c.burst *= 3;
+    }
+    return d;
+}
+
 }  // namespace loom
--- a/packages/loom/src/world.cpp
+++ b/packages/loom/src/world.cpp
@@ -47,6 +47,7 @@
         s_.push_back(std::move(s));
     }
     listings_.emplace_back(-pith::kNever, listed());
+    set_link_widths();
     for (const auto& r : role_)
         if (spare_.count(r.first) == 0) boot(r.first);
     at(200 * kMilli, [this] { look_ready(); });
--- a/packages/loom/src/world_network.cpp
+++ b/packages/loom/src/world_network.cpp
@@ -1,4 +1,5 @@
 // Links between the simulated processes: what is cut, lost, late or delivered twice.
+#include "weft/link.hpp"
 #include "world_types.hpp"
 
 namespace loom {
@@ -32,8 +33,27 @@
         }
 }
 
+std::string World::machine(const std::string& node) const {
+    return d_.shared_hosts ? "m" + node.substr(1) : node;
+}
+
+void World::set_link_widths() {
+    if (d_.narrow_link <= 0) return;
+    for (const auto& role : role_) links_.set(machine(role.first), {d_.narrow_link});
+    for (const auto& keeper : names("keeper")) links_.set(machine(keeper), {d_.wide_link});
+}
+
+Micros World::bytes_out(const std::string& node, std::size_t bytes) {
+    return links_.leaves(now_, machine(node), bytes, Carriage::stream).value_or(now_) - now_;
+}
+
+Micros World::bytes_in(const std::string& node, std::size_t bytes) {
+    return links_.arrives(now_, machine(node), bytes, Carriage::stream).value_or(now_) - now_;
+}
+
 void World::send(Node& n, const weft::Out& out) {
     std::size_t size = 0;  // counts go to all partners alike
+    std::map<std::size_t, std::size_t> sizes;  // by kind of message: one kind is alike to all receivers, or nearly so
     for (const auto& s : out) {
         ++frames;
         if (std::holds_alternative<weft::Counts>(s.msg)) {
@@ -54,13 +74,25 @@
         const std::string to = moved != node_at_.end() ? moved->second : s.address;
         if (moved == node_at_.end() && address_.count(to) != 0) continue;  // nobody is there any more
         if (cut_.count({n.name, to}) != 0 || (loss_ > 0 && rng_.unit() < loss_)) continue;
+        std::size_t bytes = 0;
+        Carriage how = Carriage::stream;
+        Micros left_at = now_;
+        if (links_.limited() && machine(to) != machine(n.name)) {
+            auto& known = sizes[e.msg.index()];
+            if (known == 0) known = weft::pack("fleet", "secret", e).size();
+            bytes = known;
+            how = weft::goes_as_datagram(e.msg, bytes) ? Carriage::datagram : Carriage::stream;
+            const auto leaves = links_.leaves(now_, machine(n.name), bytes, how);
+            if (!leaves) continue;
+            left_at = *leaves;
+        }
         const int copies = twice_ > 0 && rng_.unit() < twice_ ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
-            Micros t = trip();
+            Micros t = left_at - now_ + trip();
             if (extra_ > 0) t += static_cast<Micros>(rng_.below(static_cast<std::uint64_t>(extra_)));
             if (!up(to)) continue;
             const auto life = n_[to]->life;
-            later(t, [this, to, life, e] {
+            const auto hear = [this, to, life, e] {
                 on_node(to, life, [this, e](Node& m) {
                     if (m.core) {
                         if (breaks_.deaf_feed && m.name.back() % 2 == 1 &&
@@ -78,6 +110,14 @@
                         carry(m, actions);
                     }
                 });
+            };
+            if (bytes == 0) {
+                later(t, hear);
+                continue;
+            }
+            later(t, [this, to, bytes, how, hear] {
+                const auto arrives = links_.arrives(now_, machine(to), bytes, how);
+                if (arrives) at(*arrives, hear);
             });
         }
     }
--- a/packages/loom/src/world_nodes.cpp
+++ b/packages/loom/src/world_nodes.cpp
@@ -129,6 +129,7 @@
 bool World::in_touch(const std::string& node) const {
     constexpr Micros kContact = 3 * pith::kSecond;
     if (!runs_well(node)) return false;
+    if (now_ - links_.choked_at(machine(node)) < kContact) return false;
     const auto troubled = troubled_.find(node);
     if (troubled != troubled_.end() && now_ - troubled->second < kContact) return false;
     const auto keepers = names("keeper");
--- a/packages/loom/src/world_requests.cpp
+++ b/packages/loom/src/world_requests.cpp
@@ -70,7 +70,7 @@
     const auto life = n_[v->at]->life;
     v->life = life;
     await(v, life);
-    later(trip() / 2, [this, v, life] {
+    later(trip() / 2 + bytes_in(v->at, d_.request_bytes), [this, v, life] {
         on_node(v->at, life, [this, v](Node& n) {
             auto& h = v->entry.head;
             h.method = v->method;
@@ -292,7 +292,8 @@
     checks.handed(now_, n.name, n.core->policy()->bundle().hash, v->customer, v->service,
                   v->attempt > 1 || v->errand->sends() > 1);
     if (v->proper && v->attempt == 1 && v->errand->sends() == 1) checks.waited(now_ - v->born);
-    judge_leaving(n, *s_[at]);
+    const Micros sending = bytes_out(n.name, d_.request_bytes);
+    if (sending == 0) judge_leaving(n.name, *s_[at]);
     auto back = [this, name, life, v, ex, at, s](span::Step st, int status, std::uint64_t slife) {
         on_node(name, life, [this, v, ex, at, s, st, status, slife](Node& m) {
             if (v->exchange != ex || v->replied) return;
@@ -315,9 +316,11 @@
         later(2 * trip(), [back] { back(span::Step::lost, 0, 0); });
         return;
     }
-    later(trip(), [this, at, slife, v, back] {
-        server_take(at, slife, v, [this, back, slife](int code) {
-            later(trip(), [back, code, slife] {
+    later(sending + trip(), [this, at, slife, v, back, sending, name] {
+        // What lay in the sender's own link reached the server later than it was decided.
+        if (sending > 0 && s_[at]->life == slife) judge_leaving(name, *s_[at]);
+        server_take(at, slife, v, [this, back, slife, name](int code) {
+            later(trip() + bytes_in(name, d_.answer_bytes), [back, code, slife] {
                 if (code == 503)
                     back(span::Step::shed, 0, slife);
                 else if (code == 421)
@@ -338,6 +341,7 @@
     if (breaks_.stay_silent && v->id % 100 == 0) return;
     v->replied = true;
     n.active.erase(v);
+    bytes_out(n.name, d_.answer_bytes);
     if (v->gone) return;  // nobody hears it
     const bool not_run = !well && !r.ran_unknown;
     if (breaks_.lie_not_run && !well && r.ran_unknown) {
--- /dev/null
+++ b/packages/loom/test/links.cpp
@@ -0,0 +1,61 @@
+#define BOOST_TEST_MODULE loom_links
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "loom/link_widths.hpp"
+#include "loom/scenario.hpp"
+
+// Links that have a width: queues fill, datagrams are lost, and what is told must be known in time all the
+// same (docs/incidents/drain-and-gone.md).
+
+using loom::Carriage;
+using loom::LinkWidths;
+using pith::kMilli;
+
+namespace {
+
+constexpr pith::Micros kBound = 2000 * kMilli;  // from when the listing shows that a server leaves
+
+std::vector<loom::Result> run_all(const std::vector<std::pair<std::string, std::uint64_t>>& days,
+                                  const span::CoreTuning& tuning = {}) {
+    std::vector<loom::Result> results(days.size());
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < days.size(); ++i)
+        threads.emplace_back([&, i] {
+            results[i] = loom::run(days[i].first, "narrow84", days[i].second, tide::Tuning{}, tuning);
+        });
+    for (auto& thread : threads) thread.join();
+    return results;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(what_is_sent_waits_its_turn) {
+    LinkWidths links;
+    links.set("m1", {1e6, 3000});
+    BOOST_TEST(*links.leaves(0, "m1", 1000, Carriage::stream) == 1 * kMilli);
+    BOOST_TEST(*links.leaves(0, "m1", 1000, Carriage::datagram) == 2 * kMilli);
+    BOOST_TEST(*links.leaves(0, "m1", 2000, Carriage::stream) == 4 * kMilli);
+    BOOST_TEST(!links.leaves(0, "m1", 100, Carriage::datagram).has_value());  // 4000 bytes are before it
+    BOOST_TEST(*links.leaves(0, "m1", 1000, Carriage::stream) == 5 * kMilli);
+    BOOST_TEST(*links.arrives(0, "m1", 1000, Carriage::datagram) ==
+               1 * kMilli);  // the other direction is free
+    BOOST_TEST(*links.leaves(10 * kMilli, "m1", 1000, Carriage::datagram) == 11 * kMilli);
+    BOOST_TEST(*links.leaves(0, "m2", 1000, Carriage::datagram) == 0);  // no limit
+    BOOST_TEST(links.dropped() == 1u);
+    BOOST_TEST(links.longest_wait() == 4 * kMilli);
+}
+
+// Servers are replaced eight a second over links of 2 Mbit/s, alone, with a flood that fills links, and while
+// machines die.
+BOOST_AUTO_TEST_CASE(who_leaves_is_known_in_time_over_narrow_links) {
+    for (const auto& r :
+         run_all({{"releases", 1}, {"releases", 2}, {"releases+burst", 1}, {"releases+kills", 1}})) {
+        BOOST_TEST_MESSAGE(r.line());
+        BOOST_TEST_MESSAGE(r.scenario << " seed " << r.seed << ": the latest send to a leaving server after "
+                                      << r.latest_to_leaving / kMilli << " ms, margin "
+                                      << (kBound - r.latest_to_leaving) / kMilli << " ms");
+        BOOST_TEST(r.faults.count("sent_to_leaving") == 0u, r.line());
+        BOOST_TEST(r.latest_to_leaving > 0);  // servers were still used after they were shown to leave
+    }
+}
--- a/packages/weft/include/weft/carrier.hpp
+++ b/packages/weft/include/weft/carrier.hpp
@@ -11,6 +11,8 @@
 
 namespace weft {
 
+constexpr std::size_t kMostInDatagram = 1400;  // bytes; one packet on any link
+
 class Carrier {
   public:
     using Take = std::function<void(std::string_view)>;
--- a/packages/weft/include/weft/link.hpp
+++ b/packages/weft/include/weft/link.hpp
@@ -20,6 +20,9 @@
     std::uint64_t sent = 0, sent_bytes = 0, unsent = 0, heard = 0, heard_bytes = 0, dropped = 0;
 };
 
+// Whether plain links carry the message as one datagram, which may be lost, rather than over a stream.
+bool goes_as_datagram(const Msg& message, std::size_t bytes);
+
 class Link {
   public:
     using Hear = std::function<void(Envelope&)>;
--- a/packages/weft/src/link.cpp
+++ b/packages/weft/src/link.cpp
@@ -138,6 +138,8 @@
 
 }  // namespace
 
+bool goes_as_datagram(const Msg& message, std::size_t bytes) { return soft(message) && bytes <= kMostInDatagram; }
+
 std::unique_ptr<Carrier> zmq_carrier(boost::asio::io_context& io) { return std::make_unique<Zmq>(io); }
 
 Link::Link(boost::asio::io_context& io, std::string fleet, std::string secret, std::string name, bool plain)
--- a/packages/weft/src/plain.cpp
+++ b/packages/weft/src/plain.cpp
@@ -28,7 +28,6 @@
 
 namespace {
 
-constexpr std::size_t kDatagram = 1400;   // one packet on any link
 constexpr std::size_t kMostQueued = 128;  // frames to one peer
 constexpr std::size_t kMostBytes = kMaxFrame + 65536;  // to one peer
 constexpr std::size_t kMostInAll = kMaxFrame + kMaxFrame / 4;  // to all of them together
@@ -229,7 +228,7 @@
 
     bool send(const std::string& address, const std::string& f, bool soft) override {
         if (!open_) return false;
-        if (soft && f.size() <= kDatagram) {
+        if (soft && f.size() <= kMostInDatagram) {
             const auto t = endpoint(address);
             Code ec;
             datagrams_.send_to(asio::buffer(f), udp::endpoint{t.address(), t.port()}, 0, ec);
