span: a request ends with its caller at every step, but for a begun write

Cause: only the queue waited for the caller's close; while a session was opened, in the line for a slot, at a server, and before a second send nobody read the caller's socket, and a read was never looked at before it was sent. Class: a wait without an owner for its cancellation. Each wait registers with CallerPresence how it ends. A read at a server is broken off, and counts neither against the server nor as a retry; a write that was begun goes on; nothing more is sent.

--- a/packages/span/include/span/errand.hpp
+++ b/packages/span/include/span/errand.hpp
@@ -63,16 +63,18 @@
 constexpr pith::Micros kForServer = 300 * pith::kMilli;
 
 // What came of an exchange. shed: the server was full; misdirected: another instance is there (421); both say
-// that nothing was run.
-enum class Step { answered, unsent, lost, late, garbled, shed, misdirected };
+// that nothing was run. abandoned: a read was broken off here, since its caller had left.
+enum class Step { answered, unsent, lost, late, garbled, shed, misdirected, abandoned };
 
 // What keeps an answer with its caller and a write from running twice (docs/requests.md). All of it holds in the
 // product; a test switches one off to show that its absence is noticed.
 struct RequestRules {
     // A write that may have run is not sent again.
     bool write_once = true;
-    // A write whose caller went away before it was sent is not sent.
-    bool write_needs_caller = true;
+    // A request whose caller went away before it was sent is not sent.
+    bool send_needs_caller = true;
+    // A caller's connection is read ahead while its request is under way.
+    bool watch_caller = true;
     // An answer that names another try is no answer to this one.
     bool match_try_id = true;
     // "Not run" without a try id counts for a write only as the first answer of its connection.
@@ -97,6 +99,9 @@
 // open: a session, then the exchange; wait: for a slot; pass: for a new pass, then passed() or no_pass().
 enum class Do { wait, open, pass, answer, refuse };
 
+// What is noted of a request whose caller has left; nobody reads it.
+Refusal refusal_of_one_that_left(const std::string& try_id);
+
 class Errand {
   public:
     // `draw` takes one more pass where the customer has one free (docs/design.md 6.3).
@@ -116,6 +121,9 @@
 
     // The machine stops: what is not sent yet is refused, and nothing is sent again.
     void give_up() { given_up_ = true; }
+    // Nothing is sent any more; a write that was sent is waited for.
+    void caller_left() { caller_left_ = true; }
+    const std::string& try_id() const { return p_.try_id; }
 
     const Slot& slot() const { return slot_; }
     pith::Micros until() const { return until_; }
@@ -146,7 +154,7 @@
     Slot slot_;
     Refusal refusal_, last_;
     pith::Micros until_ = 0, t0_ = 0, pass_at_ = -pith::kNever;
-    bool sent_ = false, given_up_ = false;
+    bool sent_ = false, given_up_ = false, caller_left_ = false;
     bool ran_ = false;   // an earlier send may have run
     bool held_ = false;  // a server's 5xx, passed on where no other server is to be had
     int sends_ = 0, unsent_ = 0;
--- a/packages/span/include/span/front.hpp
+++ b/packages/span/include/span/front.hpp
@@ -6,6 +6,7 @@
 #include <thread>
 #include <vector>
 
+#include "span/caller_connection.hpp"
 #include "span/relay.hpp"
 #include "weft/desk.hpp"
 
@@ -22,13 +23,11 @@
     Relay relay;
 
   private:
-    void visit(Visit& v, boost::asio::ip::tcp::socket& s, Carried* c, boost::asio::yield_context y);
-    bool wait_turn(const Entry& e, tide::Id id, const WaiterPtr& w, boost::asio::ip::tcp::socket& s,
+    void visit(Visit& v, CallerConnection& connection, Carried* c, boost::asio::yield_context y);
+    bool wait_turn(const Entry& e, tide::Id id, const WaiterPtr& w, CallerPresence& caller,
                    boost::asio::yield_context y);
-    void caller_left(CallerStep step, Refusal* refusal);  // counts it, and says so
     // Stands in S once more, for a visit whose pass went stale.
-    bool another_pass(Entry* e, pith::Micros until, boost::asio::ip::tcp::socket& s,
-                      boost::asio::yield_context y);
+    bool another_pass(Entry* e, pith::Micros until, CallerPresence& caller, boost::asio::yield_context y);
     Hall& hall_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
     std::thread thread_;
--- a/packages/span/include/span/hall.hpp
+++ b/packages/span/include/span/hall.hpp
@@ -13,6 +13,7 @@
 #include <thread>
 #include <unordered_map>
 
+#include "span/caller_presence.hpp"
 #include "span/errand.hpp"
 #include "span/plan.hpp"
 #include "span/pool.hpp"
@@ -59,10 +60,6 @@
     std::deque<Trace> t_;
 };
 
-// The step of a request at which its caller was found to have left (docs/design.md 7.9).
-enum class CallerStep { queue, line, connect, before_send, answer };
-constexpr std::array<const char*, 5> kCallerSteps{"queue", "line", "connect", "before_send", "answer"};
-
 struct Tolls {  // counters for /metrics
     std::array<std::atomic<std::uint64_t>, 64> by_kind{};
     std::array<std::atomic<std::uint64_t>, kCallerSteps.size()> callers_left{};  // by CallerStep
--- a/packages/span/include/span/relay.hpp
+++ b/packages/span/include/span/relay.hpp
@@ -33,7 +33,7 @@
 
 // What came of a plan: a whole answer, or a refusal that is true.
 struct Carried {
-    bool answered = false, sent = false;
+    bool answered = false, sent = false, caller_left = false;
     Reply reply;
     Refusal refusal;
     Trace trace;
@@ -46,8 +46,8 @@
     // Waits for a new pass until then, and says whether it came; if not, it fills the refusal.
     using More = std::function<bool(pith::Micros until, Refusal*)>;
     using Allowed = std::function<bool(Refusal*)>;
-    void carry(const Plan& p, const Visit& v, const More& more, const Allowed& allowed, Carried* c,
-               boost::asio::yield_context y);
+    void carry(const Plan& p, const Visit& v, CallerPresence& caller, const More& more, const Allowed& allowed,
+               Carried* c, boost::asio::yield_context y);
     // Proves a server on a fresh session: 0 well, 1 failed, 2 leaving.
     std::uint8_t probe(const weft::ServerRec& r, boost::asio::yield_context y);
     // A planned stop's grace is over: callers whose answers are still awaited are told so, at once.
@@ -65,8 +65,13 @@
     };
     enum class Owner { ours, another_try, unclear };
 
-    std::unique_ptr<Session> open(const Slot& s, pith::Micros until, std::uint8_t* verdict,
-                                  boost::asio::yield_context y);
+    // `x` is to be a fresh session. False: it could not be had, as `verdict` says.
+    bool open(Session& x, const Slot& s, pith::Micros until, std::uint8_t* verdict, boost::asio::yield_context y);
+    std::unique_ptr<Session> session(const Slot& s, const Errand& errand, CallerPresence& caller,
+                                     std::uint8_t* verdict, boost::asio::yield_context y);
+    Step exchange_for(CallerPresence& caller, Session& s, const Plan& p, const Slot& slot, const Visit& v,
+                      pith::Micros until, Reply* r, bool* keep, boost::asio::yield_context y);
+    void heed(Errand* errand, const CallerPresence& caller) const;
     std::unique_ptr<Session> idle(const Slot& s, const std::string& try_id);
     bool quiet(Session& s) const;
     Step exchange(Session& s, const Plan& p, const Slot& slot, const Visit& v, pith::Micros until, Reply* r,
@@ -79,7 +84,7 @@
     Step judge(const Reply& in) const;
     void hand_over(const Reply& in, bool bodyless, bool head_only, Reply* out) const;
     static void idle_time(const Reply& in, Session* s);
-    void wait_in_line(const Plan& p, pith::Micros until, boost::asio::yield_context y);
+    void wait_in_line(const Plan& p, pith::Micros until, CallerPresence& caller, boost::asio::yield_context y);
     void keep(const Slot& s, std::unique_ptr<Session> x);
     void note_listing_age(const Slot& server);
     static std::string key(const Slot& s) { return s.address + ' ' + s.instance + ' ' + s.service; }
--- a/packages/span/src/errand.cpp
+++ b/packages/span/src/errand.cpp
@@ -119,6 +119,13 @@
         tries_.not_run(e.plan.customer, e.plan.try_id);
 }
 
+Refusal refusal_of_one_that_left(const std::string& try_id) {
+    Refusal refusal;
+    refusal.try_id = try_id;
+    refusal.error = {Kind::caller_left, "its caller left before it was answered"};
+    return refusal;
+}
+
 Do Errand::refuse(Kind k, const char* why, Micros retry_after) {
     Refusal r;
     r.error = {k, why};
@@ -144,6 +151,7 @@
 
 Do Errand::again(Micros now) {
     if (given_up_) return refuse(Kind::stopping, "this machine is stopping: send it to another");
+    if (caller_left_) return no_pass(refusal_of_one_that_left(p_.try_id));
     if (now >= p_.deadline && sends_ > 0) return no_pass(last_);
     if (now >= p_.deadline)
         return refuse(Kind::late, "the deadline passed before a server was free: come back shortly");
@@ -180,6 +188,11 @@
 bool Errand::opened(Micros now, bool had, std::uint8_t verdict, Do* otherwise) {
     // The server may have begun to leave, or a freeze may have eaten the deadline, while the session was
     // opened.
+    if (caller_left_) {
+        give_back(now, Outcome::unused);
+        *otherwise = again(now);
+        return false;
+    }
     const bool stands = had && !given_up_ && pool_.stands(slot_);
     Refusal no;
     if (stands && allowed && !allowed(&no)) {
@@ -223,7 +236,7 @@
 
 // Another server, within the tries, the time and the budget; else what was learnt so far.
 Do Errand::elsewhere(Micros now) {
-    if (given_up_ || sends_ >= p_.tries || now >= p_.deadline) return no_pass(last_);
+    if (given_up_ || caller_left_ || sends_ >= p_.tries || now >= p_.deadline) return no_pass(last_);
     not_these_.push_back(slot_.address);
     pass_at_ = -pith::kNever;  // each send needs a pass of its own
     return again(now);
@@ -254,6 +267,13 @@
         }
         return elsewhere(now);
     }
+    if (s == Step::abandoned) {  // our own doing: no word about the server
+        give_back(now, Outcome::unused);
+        ran_ = true;
+        last_ = refusal_of_one_that_left(p_.try_id);
+        last_.ran_unknown = true;
+        return no_pass(last_);
+    }
     give_back(now, s == Step::unsent ? Outcome::unused : s == Step::late ? Outcome::slow : Outcome::lost);
     if (s == Step::unsent) {
         sent_ = ran_;
--- a/packages/span/src/front.cpp
+++ b/packages/span/src/front.cpp
@@ -1,7 +1,5 @@
 #include "span/front.hpp"
 
-#include <sys/socket.h>
-
 #include <array>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -81,12 +79,17 @@
     return n % kKi == 0 ? std::to_string(n / kKi) + " KiB" : std::to_string(n) + " bytes";
 }
 
-// The caller's session closed while its visit waited.
-bool connection_ended(tcp::socket& s) {
-    char c;
-    const auto n = ::recv(s.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
+// The connection is closed however its session ends; a read that is under way then ends, too.
+class CloseAtEnd {
+  public:
+    explicit CloseAtEnd(std::shared_ptr<CallerConnection> connection) : connection_(std::move(connection)) {}
+    ~CloseAtEnd() { connection_->close(); }
+    CloseAtEnd(const CloseAtEnd&) = delete;
+    CloseAtEnd& operator=(const CloseAtEnd&) = delete;
+
+  private:
+    std::shared_ptr<CallerConnection> connection_;
+};
 
 }  // namespace
 
@@ -101,14 +104,12 @@
 }
 
 // Waits for the visit's pass. False: it will never come.
-bool Worker::wait_turn(const Entry& e, tide::Id id, const WaiterPtr& w, tcp::socket& s,
+bool Worker::wait_turn(const Entry& e, tide::Id id, const WaiterPtr& w, CallerPresence& caller,
                        asio::yield_context y) {
     if (hall_.arm) hall_.arm();
     // A caller who goes away takes its visit out of the queue.
-    auto watching = std::make_shared<bool>(true);
-    s.async_wait(tcp::socket::wait_read, [w, watching, &s](boost::system::error_code ec) {
-        if (*watching && !ec && connection_ended(s)) w->wake(Waiter::gone);
-    });
+    const CallerPresence::Step step(caller, CallerStep::queue, [&w] { w->wake(Waiter::gone); });
+    if (caller.left()) w->wake(Waiter::gone);
     for (;;) {
         // The network tells; the timer only stands in where that fails.
         w->timer.expires_at(at(e.plan.deadline + 20 * pith::kMilli));
@@ -120,32 +121,25 @@
             break;  // let out just as the caller went: the pass is spent, nothing is sent
         if (pith::mono_now() > e.plan.deadline + 2 * pith::kSecond) break;
     }
-    *watching = false;
-    boost::system::error_code ec;
-    s.cancel(ec);
     return w->state() == Waiter::released;
 }
 
-void Worker::caller_left(CallerStep step, Refusal* refusal) {
-    hall_.tolls.caller_left(step);
-    refusal->error = {Kind::caller_left, "its caller left before it was sent: nothing was run"};
-    refusal->retry_after = 0;
-}
-
-bool Worker::another_pass(Entry* e, Micros until, tcp::socket& s, asio::yield_context y) {
+bool Worker::another_pass(Entry* e, Micros until, CallerPresence& caller, asio::yield_context y) {
     auto w = std::make_shared<Waiter>(io);
     const tide::Id id = hall_.enter(w);
     const bool in = hall_.basin.again(pith::mono_now(), e->plan.customer, id, until);
-    const bool came = in && wait_turn(*e, id, w, s, y);
+    const bool came = in && wait_turn(*e, id, w, caller, y);
     hall_.leave(id);
-    if (w->state() == Waiter::gone)
-        caller_left(CallerStep::queue, &e->refusal);
+    if (caller.left())
+        e->refusal = refusal_of_one_that_left(e->plan.try_id);
     else if (!came)
         hall_.lobby.not_released(e);
     return came && hall_.lobby.released(pith::mono_now(), e);
 }
 
-void Worker::visit(Visit& v, tcp::socket& s, Carried* c, asio::yield_context y) {
+void Worker::visit(Visit& v, CallerConnection& connection, Carried* c, asio::yield_context y) {
+    CallerPresence caller([this](CallerStep step) { hall_.tolls.caller_left(step); });
+    if (relay.rules.watch_caller) connection.watch(&caller);
     Entry e;
     const Dialect& d = hall_.dialect;
     e.head = {std::string(v.method_string()), std::string(v.target()), field(v, d.key), field(v, d.try_id),
@@ -160,9 +154,9 @@
     bool go = e.queued || e.released;
     // Its release is to be told soon; with a tolerance the next tick is soon enough (docs/design.md 6.4).
     if (e.released && !hall_.basin.tolerant() && hall_.arm) hall_.arm();
-    if (e.queued && !wait_turn(e, id, w, s, y)) {
-        if (w->state() == Waiter::gone)
-            caller_left(CallerStep::queue, &e.refusal);
+    if (e.queued && !wait_turn(e, id, w, caller, y)) {
+        if (caller.left())
+            e.refusal = refusal_of_one_that_left(e.plan.try_id);
         else
             hall_.lobby.not_released(&e);
         go = false;
@@ -180,17 +174,19 @@
     if (go) {
         const Plan first = e.plan;
         relay.carry(
-            first, v,
+            first, v, caller,
             [&](Micros until, Refusal* r) {
-                const bool came = another_pass(&e, until, s, y);
+                const bool came = another_pass(&e, until, caller, y);
                 if (!came) *r = e.refusal;
                 return came;
             },
             [&](Refusal* r) {
                 if (!hall_.lobby.allowed(pith::mono_now(), &e, r)) return false;
                 // Whoever went away may have asked again elsewhere, as after a standstill of this process.
-                if (!e.plan.write || !relay.rules.write_needs_caller || !connection_ended(s)) return true;
-                caller_left(CallerStep::before_send, r);
+                const CallerPresence::Step step(caller, CallerStep::before_send);
+                if (relay.rules.send_needs_caller && connection.ended()) caller.leave();
+                if (!caller.left()) return true;
+                *r = refusal_of_one_that_left(e.plan.try_id);
                 return false;
             },
             c, y);
@@ -198,13 +194,16 @@
         c->refusal = e.refusal;
     hall_.lobby.end(e, c->sent);
     --hall_.in_flight;
+    connection.unwatch();
+    c->caller_left = caller.left();
 }
 
 void Worker::serve(tcp::socket sock, asio::yield_context y) {
-    beast::tcp_stream st(std::move(sock));
-    beast::flat_buffer buf;
+    const auto connection = std::make_shared<CallerConnection>(std::move(sock));
+    const CloseAtEnd close_at_end(connection);
+    auto& st = connection->stream();
+    auto& buf = connection->buffer();
     boost::system::error_code ec;
-    st.socket().set_option(tcp::no_delay(true), ec);
     for (bool more = true; more;) {
         http::request_parser<http::string_body> p;
         const creed::PolicyPtr conf = hall_.policy();
@@ -213,12 +212,8 @@
         p.body_limit(limits.body_bytes);
         p.eager(true);
         // Between requests the idle time, from a request's first byte on the head's.
-        st.expires_after(std::chrono::microseconds(std::max(limits.idle_time, limits.header_time)));
-        if (buf.size() == 0) {
-            const std::size_t n = st.async_read_some(buf.prepare(4096), y[ec]);
-            buf.commit(n);
-            if (ec) return;
-        }
+        const auto idle_time = std::chrono::microseconds(std::max(limits.idle_time, limits.header_time));
+        if (!connection->wait_for_bytes(idle_time, y)) return;
         st.expires_after(std::chrono::microseconds(limits.header_time));
         http::async_read_header(st, buf, p, y[ec]);
         Carried c;
@@ -269,7 +264,7 @@
             Visit v = p.release();
             more = v.keep_alive();
             st.expires_never();
-            visit(v, st.socket(), &c, y);
+            visit(v, *connection, &c, y);
         }
         if (hall_.stopping || !hall_.ready) more = false;  // the platform gives the caller another machine
         Reply a = c.answered ? std::move(c.reply) : refusal_reply(c.refusal, head, hall_.dialect);
@@ -293,6 +288,7 @@
                          {"queued_us", c.trace.queued},
                          {"took_us", c.trace.took}});
         if (!c.trace.try_id.empty()) hall_.traces.add(std::move(c.trace));
+        if (c.caller_left) return;  // nobody reads the answer
         a.keep_alive(more);
         st.expires_after(kWriteIn);
         http::response_serializer<http::string_body> sr(a);
@@ -304,6 +300,7 @@
         }
         if (ec) return;
     }
+    connection->stop_reading(y);
     st.socket().shutdown(tcp::socket::shutdown_send, ec);
     // What the caller still sends is read for a moment, lest a reset eat our answer.
     std::array<char, 16384> sink;
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -91,33 +91,31 @@
 }
 
 // The server must name the service and instance that we mean, on this very session (docs/design.md 7.6).
-std::unique_ptr<Session> Relay::open(const Slot& s, Micros until, std::uint8_t* verdict,
-                                     asio::yield_context y) {
+bool Relay::open(Session& x, const Slot& s, Micros until, std::uint8_t* verdict, asio::yield_context y) {
     *verdict = 1;
-    auto x = std::make_unique<Session>(io_);
     boost::system::error_code ec;
     until = std::min(until, pith::mono_now() + kProveIn);
-    give(*x, until);
+    give(x, until);
     ++hall_.tolls.opened;
-    x->stream.async_connect(weft::endpoint(s.address), y[ec]);
-    if (ec) return {};
-    x->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
-    x->idle_for = kIdleFor;
+    x.stream.async_connect(weft::endpoint(s.address), y[ec]);
+    if (ec) return false;
+    x.stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    x.idle_for = kIdleFor;
     if (!hall_.dialect.expect.empty()) {  // each request says whom it expects: nothing to prove
         *verdict = 0;
-        x->echoes = hall_.dialect.echoes;
-        return x;
+        x.echoes = hall_.dialect.echoes;
+        return true;
     }
     http::request<http::empty_body> q{http::verb::get, "/.marble/identity", 11};
     q.set(http::field::host, s.address);
-    give(*x, until);
-    http::async_write(x->stream, q, y[ec]);
-    if (ec) return {};
+    give(x, until);
+    http::async_write(x.stream, q, y[ec]);
+    if (ec) return false;
     http::response_parser<http::string_body> p;
     p.body_limit(4096);
-    http::async_read(x->stream, x->buf, p, y[ec]);
+    http::async_read(x.stream, x.buf, p, y[ec]);
     ++hall_.tolls.proofs;
-    bool ok = !ec && p.get().result() == http::status::ok && p.get().keep_alive() && quiet(*x);
+    bool ok = !ec && p.get().result() == http::status::ok && p.get().keep_alive() && quiet(x);
     if (ok) {
         const auto v = boost::json::parse(p.get().body(), ec);
         const auto* o = ec ? nullptr : v.if_object();
@@ -127,20 +125,34 @@
         };
         ok = is("service", s.service) && is("instance", s.instance);
         const auto* e = ok ? o->if_contains("echo") : nullptr;
-        x->echoes = e != nullptr && e->is_bool() && e->get_bool();
+        x.echoes = e != nullptr && e->is_bool() && e->get_bool();
         const auto* l = ok ? o->if_contains("leaving") : nullptr;
         if (l != nullptr && l->is_bool() && l->get_bool()) {
             *verdict = 2;
             hall_.pool.leaving(s.address, s.instance);
-            return {};
+            return false;
         }
     }
     if (!ok) {
         ++hall_.tolls.proof_failed;
-        return {};
+        return false;
     }
     *verdict = 0;
-    return x;
+    return true;
+}
+
+// A kept session, or a fresh one; none where there is none to be had, or the caller left meanwhile.
+std::unique_ptr<Session> Relay::session(const Slot& s, const Errand& errand, CallerPresence& caller,
+                                        std::uint8_t* verdict, asio::yield_context y) {
+    auto kept = idle(s, errand.try_id());
+    if (kept) {
+        ++hall_.tolls.reused;
+        return kept;
+    }
+    auto fresh = std::make_unique<Session>(io_);
+    const CallerPresence::Step step(caller, CallerStep::connect, [&fresh] { fresh->stream.cancel(); });
+    if (!open(*fresh, s, errand.open_until(), verdict, y)) fresh.reset();
+    return fresh;
 }
 
 // The client's request as this server is to see it: the key stays here, the customer's name goes in its
@@ -292,8 +304,9 @@
     s->idle_for = std::min(kIdleFor, std::max<Micros>(0, t - pith::kSecond));
 }
 
-void Relay::wait_in_line(const Plan& p, Micros until, asio::yield_context y) {
+void Relay::wait_in_line(const Plan& p, Micros until, CallerPresence& caller, asio::yield_context y) {
     auto w = std::make_shared<Waiter>(io_);
+    const CallerPresence::Step step(caller, CallerStep::line, [&w] { w->wake(Waiter::gone); });
     // Also looked at now and then: an ejected server may return without a slot being freed.
     hall_.stand_in_line(p.service, w);
     w->timer.expires_at(at(until));
@@ -301,26 +314,46 @@
     w->timer.async_wait(y[ec]);
 }
 
-void Relay::carry(const Plan& p, const Visit& v, const More& more, const Allowed& allowed, Carried* c,
-                  asio::yield_context y) {
+// A read ends with its caller; a write that was begun goes on, since breaking it off would leave it half done.
+Step Relay::exchange_for(CallerPresence& caller, Session& s, const Plan& p, const Slot& slot, const Visit& v,
+                         Micros until, Reply* r, bool* keep, asio::yield_context y) {
+    std::function<void()> break_off;
+    if (!p.write) break_off = [&s] { s.stream.cancel(); };
+    const CallerPresence::Step step(caller, CallerStep::answer, std::move(break_off));
+    busy_.insert(&s);
+    const Step ended = exchange(s, p, slot, v, until, r, keep, y);
+    busy_.erase(&s);
+    const bool broken_off_here = ended == Step::lost && !p.write && caller.left();
+    return broken_off_here ? Step::abandoned : ended;
+}
+
+// What happened while the request waited.
+void Relay::heed(Errand* errand, const CallerPresence& caller) const {
+    if (given_up_) errand->give_up();
+    if (caller.left()) errand->caller_left();
+}
+
+void Relay::carry(const Plan& p, const Visit& v, CallerPresence& caller, const More& more, const Allowed& allowed,
+                  Carried* c, asio::yield_context y) {
     Errand e(p, hall_.pool,
              [this, &p] { return p.customer.empty() || hall_.basin.draw(pith::mono_now(), p.customer); });
     e.allowed = allowed;
     e.rules = rules;
     e.slot_free = [this](const std::string& s) { hall_.slot_free(s); };
     const Micros began = pith::mono_now();
+    heed(&e, caller);
     Do d = e.start(began);
     while (d != Do::answer && d != Do::refuse) {
         if (d == Do::wait) {
-            wait_in_line(p, e.wait_until(pith::mono_now()), y);
-            if (given_up_) e.give_up();
+            wait_in_line(p, e.wait_until(pith::mono_now()), caller, y);
+            heed(&e, caller);
             d = e.again(pith::mono_now());
             continue;
         }
         if (d == Do::pass) {
             Refusal r;
             const bool came = more(e.pass_until(), &r);
-            if (given_up_) e.give_up();
+            heed(&e, caller);
             d = came ? e.passed(pith::mono_now()) : e.no_pass(r);
             continue;
         }
@@ -328,12 +361,8 @@
         c->trace.server = s.address;
         c->trace.instance = s.instance;
         std::uint8_t verdict = 0;
-        auto x = idle(s, p.try_id);
-        if (x)
-            ++hall_.tolls.reused;
-        else
-            x = open(s, e.open_until(), &verdict, y);
-        if (given_up_) e.give_up();
+        auto x = session(s, e, caller, &verdict, y);
+        heed(&e, caller);
         if (!e.opened(pith::mono_now(), x != nullptr, verdict, &d)) {
             if (x) keep(s, std::move(x));  // unused, and still sound
             continue;
@@ -341,10 +370,8 @@
         if (e.sends() > 1) ++hall_.tolls.own_retries;
         note_listing_age(s);
         bool sound = false;
-        busy_.insert(x.get());
-        const Step st = exchange(*x, p, s, v, e.until(), &c->reply, &sound, y);
-        busy_.erase(x.get());
-        if (given_up_) e.give_up();
+        const Step st = exchange_for(caller, *x, p, s, v, e.until(), &c->reply, &sound, y);
+        heed(&e, caller);
         if (sound) keep(s, std::move(x));
         if (st == Step::answered) {
             const std::string& lv = hall_.dialect.leaving;
@@ -391,8 +418,9 @@
 std::uint8_t Relay::probe(const weft::ServerRec& r, asio::yield_context y) {
     std::uint8_t v = 1;
     ++hall_.tolls.probes;
-    auto x = open(Slot{r.address, r.service, r.instance}, pith::mono_now() + kProveIn, &v, y);
-    if (x) keep(Slot{r.address, r.service, r.instance}, std::move(x));  // proven: fit for visits
+    const Slot slot{r.address, r.service, r.instance};
+    auto x = std::make_unique<Session>(io_);
+    if (open(*x, slot, pith::mono_now() + kProveIn, &v, y)) keep(slot, std::move(x));  // proven: fit for visits
     return v;
 }
 
--- a/packages/span/test/answers.cpp
+++ b/packages/span/test/answers.cpp
@@ -615,7 +615,7 @@
     };
     BOOST_TEST(play({}));
     // Where it waits for its pass first, the queue looks whether the caller is there.
-    if (speech == Speech::expecting) BOOST_TEST(!play(without({&RequestRules::write_needs_caller})));
+    if (speech == Speech::expecting) BOOST_TEST(!play(without({&RequestRules::send_needs_caller, &RequestRules::watch_caller})));
 }
 
 // The process that sent it is gone, and so is its caller's connection. The next life sends nothing again and
