span: what leaves is told ahead of the listing, and asked for where it was missed

Cause: one fact of some bytes travelled only as a part of a whole listing (18 KB to each of 84 nodes, over links of 2 Mbit/s), and who missed it learnt so 0.5 s later and asked 0.4 s after that; a question to the platform that took long put off the next one; a word that came late counted as new. Class: an urgent fact behind bulk, without an acknowledgement or an age. Now each answer of the platform is told as a digest, one datagram: the listing's label, how long ago the platform was asked, the sender's clock, and the hashes of the servers withdrawn in the last 3 s; a change is told twice. Listings follow as differences to proxies. A node whose knowledge is older than the period and 0.3 s asks a teller, another one each 150 ms. A digest's lateness shows against the quickest of its sender's life. Questions carry numbers, so tests pass them on.

--- a/packages/loom/src/capacity.cpp
+++ b/packages/loom/src/capacity.cpp
@@ -296,9 +296,9 @@
     void carry(int i, span::Todo& d) {
         send(i, d.out);
         left(i, d.left);
-        if (d.list) {
+        if (d.list != 0) {
             span::Todo e;
-            n_[static_cast<std::size_t>(i)]->core->listed(now_, servers_, &e);
+            n_[static_cast<std::size_t>(i)]->core->listed(now_, d.list, servers_, &e);
             carry(i, e);
         }
         if (d.probe.empty()) return;
--- a/packages/loom/src/world_proxies.cpp
+++ b/packages/loom/src/world_proxies.cpp
@@ -15,12 +15,12 @@
     }
     const std::string name = n.name;
     const auto life = n.life;
-    if (d.list) {
+    if (d.list != 0) {
         ++listings;
-        later(2 * trip(), [this, name, life] {
-            on_node(name, life, [this](Node& m) {
+        later(2 * trip(), [this, name, life, question = d.list] {
+            on_node(name, life, [this, question](Node& m) {
                 if (list_fails_) {
-                    m.core->list_failed(now_, 0);
+                    m.core->list_failed(now_, question, 0);
                     return;
                 }
                 std::vector<weft::ServerRec> v;
@@ -36,7 +36,7 @@
                         if (l.state == span::kLeaving && s->instance == l.instance && s->known_at == 0)
                             s->known_at = now_;
                 span::Todo e;
-                m.core->listed(now_, v, &e);
+                m.core->listed(now_, question, v, &e);
                 carry(m, e);
             });
         });
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -64,7 +64,7 @@
     weft::Out out;
     tide::Left left;                     // visits that left S without being looked at by advance()
     bool policy = false;                 // a higher bundle stands
-    bool list = false;                   // ask the platform now; then listed() or list_failed()
+    std::uint64_t list = 0;              // ask the platform now, by this number; then listed() or list_failed()
     std::vector<weft::ServerRec> probe;  // probe these; then probed()
 };
 
@@ -75,8 +75,8 @@
 
     void tick(pith::Micros now, Todo* d);
     void hear(pith::Micros now, const weft::Envelope& e, Todo* d);
-    void listed(pith::Micros now, std::vector<weft::ServerRec> v, Todo* d);
-    void list_failed(pith::Micros now, pith::Micros retry_after);
+    void listed(pith::Micros now, std::uint64_t question, std::vector<weft::ServerRec> v, Todo* d);
+    void list_failed(pith::Micros now, std::uint64_t question, pith::Micros retry_after);
     void probed(pith::Micros now, const std::vector<weft::ProbeRec>& v, Todo* d);
     void say(knell::State s, pith::Micros now, Todo* d);
 
@@ -105,7 +105,7 @@
     const char* counts_way() const;
     pith::Micros listing_age(pith::Micros now) const { return listing_.age(now); }
     LeavingHeard leaving_news() { return listing_.leaving_news(); }
-    pith::Micros listing_confirmed_at() const { return listing_.confirmed_at(); }
+    pith::Micros servers_known_at() const { return listing_.known_at(); }
     std::uint64_t relayed_words() const { return relayed_; }  // counts that were heard through others
     // What is sensed of the others: of each by itself, or of all together as aggregators tell it.
     const tide::Tally& tally() const { return told_sums() ? sums_tally_ : tally_; }
--- a/packages/span/include/span/pool.hpp
+++ b/packages/span/include/span/pool.hpp
@@ -63,6 +63,9 @@
     Pool(std::string node, std::string locality, PoolTuning t);
 
     void listing(pith::Micros now, const weft::Listing& l);
+    // Servers by server_hash that the platform no longer shows as serving: sent no requests until a listing says otherwise.
+    // Gives the instances for which that is new.
+    std::vector<std::string> withdraw(pith::Micros now, const std::vector<std::uint64_t>& servers);
     void mark(const std::string& address, bool drain);
     void leaving(const std::string& address, const std::string& instance,
                  bool told = false);  // the server said so itself
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -519,8 +519,16 @@
         if (!listing_.hear(now, e.from, *l)) ++refused_;
         return;
     }
-    if (const auto* c = std::get_if<weft::ListingConfirmed>(&e.msg)) {
-        if (fresh) listing_.hear(now, e.from, *c);
+    if (const auto* change = std::get_if<weft::ListingChange>(&e.msg)) {
+        if (!listing_.hear(now, e.from, *change)) ++refused_;
+        return;
+    }
+    if (const auto* digest = std::get_if<weft::ListingDigest>(&e.msg)) {
+        if (fresh) listing_.hear(now, e.from, e.inc, *digest);
+        return;
+    }
+    if (const auto* ask = std::get_if<weft::ListingDigestAsk>(&e.msg)) {
+        listing_.hear(now, e.from, *ask, &d->out);
         return;
     }
     if (const auto* q = std::get_if<weft::ListingAsk>(&e.msg)) {
@@ -533,11 +541,13 @@
     }
 }
 
-void ProxyCore::listed(Micros now, std::vector<weft::ServerRec> v, Todo* d) {
-    listing_.listed(now, std::move(v), &d->out);
+void ProxyCore::listed(Micros now, std::uint64_t question, std::vector<weft::ServerRec> v, Todo* d) {
+    listing_.listed(now, question, std::move(v), &d->out);
 }
 
-void ProxyCore::list_failed(Micros now, Micros retry_after) { listing_.failed(now, retry_after); }
+void ProxyCore::list_failed(Micros now, std::uint64_t question, Micros retry_after) {
+    listing_.failed(now, question, retry_after);
+}
 
 void ProxyCore::probed(Micros now, const std::vector<weft::ProbeRec>& v, Todo* d) {
     if (v.empty()) return;
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -1,7 +1,6 @@
 #include "span/listing_duty.hpp"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 
 namespace span {
@@ -10,28 +9,18 @@
 
 namespace {
 constexpr char kDuty[] = "listing";
+constexpr std::size_t kMostInDigest = 128;  // hashes of 8 bytes: a digest stays one datagram
 
 std::string host_of(const std::string& address) { return address.substr(0, address.rfind(':')); }
 }  // namespace
 
-bool ListingDuty::Label::operator<(const Label& other) const {
-    return std::tie(epoch, holder, version) < std::tie(other.epoch, other.holder, other.version);
-}
-
-bool ListingDuty::same(const weft::ServerRec& a, const weft::ServerRec& b) {
-    return a.address == b.address && a.service == b.service && a.instance == b.instance &&
-           a.state == b.state && a.locality == b.locality && a.slots == b.slots &&
-           a.version == b.version;  // cold_us runs down by itself
-}
-
 bool ListingDuty::beside_control_node(const std::string& address) const {
     for (const auto* member : members_->live("keeper"))
         if (host_of(member->rec.address) == host_of(address)) return true;
     return false;
 }
 
-// A listing for all of a large fleet fills a narrow link for seconds: only who stands beside a control node
-// tells it.
+// In a large fleet only who stands beside a control node tells: its link is wide.
 bool ListingDuty::tells_others() const {
     return !large_fleet_ || members_->live("keeper").empty() || beside_control_node(members_->own_address());
 }
@@ -60,66 +49,68 @@
 // Whether this proxy is to ask now: the first in the order each period, any other where it hears of no newer
 // asking.
 bool ListingDuty::due(Micros now) const {
-    const Micros period = large_fleet_ ? tuning_.period_large : tuning_.period;
-    if (age(now) < period) return false;
+    if (now - std::max(confirmed_at_, heard_at_) < period()) return false;
     const std::size_t place = rank();
     if (place == 0) return true;
-    const Micros unheard = now - std::max(confirmed_at_, could_ask_since_);
+    // What was never confirmed is as old as the time since when it could be.
+    const Micros unheard = now - std::max(heard_at_, could_ask_since_);
     if (!tells_others()) return unheard >= tuning_.alone + static_cast<Micros>(place) * tuning_.step_alone;
     const Micros patience =
-        period + tuning_.grace + static_cast<Micros>(std::min(place - 1, tuning_.steps)) * tuning_.step;
-    // What was never confirmed is as old as the time since when it could be.
+        period() + tuning_.grace + static_cast<Micros>(std::min(place - 1, tuning_.steps)) * tuning_.step;
     return unheard >= patience;
 }
 
-bool ListingDuty::tick(Micros now, const Surroundings& around, weft::Out* out) {
+std::uint64_t ListingDuty::tick(Micros now, const Surroundings& around, weft::Out* out) {
     large_fleet_ = around.large_fleet;
+    withdrawals_.forget_old(now);
     seek(now, around, out);
-    if (now >= confirm_due_) {
-        confirm_due_ = pith::kNever;
-        confirm(out);
+    ask_for_digest(now, out);
+    if (now >= digest_due_) {
+        digest_due_ = pith::kNever;
+        tell_digest(now, out);
     }
-    if (!around.may_ask) return false;
+    if (!around.may_ask) return 0;
     if (could_ask_since_ < 0) could_ask_since_ = now;
-    if (asking_ || now < next_question_ || !due(now)) return false;
-    asking_ = true;
-    asked_at_ = now;
-    held_as_asked_ = held();
-    next_question_ = now + (large_fleet_ ? tuning_.period_large : tuning_.period);
-    return true;
+    if (questions_.size() >= tuning_.under_way || now < next_question_ || !due(now)) return 0;
+    questions_[++asked_] = {now, held()};
+    next_question_ = now + period();
+    return asked_;
 }
 
-void ListingDuty::tell(const weft::Msg& message, bool control_nodes_too, weft::Out* out) const {
-    for (const auto* member : members_->live())
-        if (control_nodes_too || member->rec.role == "proxy") out->push_back({member->rec.address, message});
+weft::ListingDigest ListingDuty::digest(Micros now) const {
+    const ListingLabel label = newest_label();
+    weft::ListingDigest digest;
+    digest.epoch = label.epoch;
+    digest.holder = label.holder;
+    digest.version = label.version;
+    digest.asked_ago = static_cast<std::uint64_t>(std::max<Micros>(0, now - known_at_));
+    digest.sent_at = static_cast<std::uint64_t>(now);
+    return digest;
 }
 
-void ListingDuty::confirm(weft::Out* out) const {
-    tell(weft::ListingConfirmed{listing_.epoch, listing_.holder, listing_.version}, false, out);
+std::vector<std::uint64_t> ListingDuty::told_of(Micros now) const {
+    return tuning_.tell_withdrawn ? withdrawals_.recent(now) : std::vector<std::uint64_t>{};
 }
 
-void ListingDuty::take(Micros now, const weft::Listing& listing) {
-    note_leaving(now, listing);
-    listing_ = listing;
-    auto& freight = members_->freight();
-    freight.list_epoch = listing.epoch;
-    freight.list_version = listing.version;
-    pool_->listing(now, listing_);
+// Small, and so ahead of all else on a link. One that has too much to say comes as several.
+void ListingDuty::tell_digest(Micros now, weft::Out* out) const {
+    const auto withdrawn = told_of(now);
+    for (std::size_t from = 0; from == 0 || from < withdrawn.size(); from += kMostInDigest) {
+        auto part = digest(now);
+        const std::size_t to = std::min(withdrawn.size(), from + kMostInDigest);
+        part.withdrawn.assign(withdrawn.begin() + static_cast<std::ptrdiff_t>(from),
+                              withdrawn.begin() + static_cast<std::ptrdiff_t>(to));
+        for (const auto* member : members_->live("proxy")) out->push_back({member->rec.address, part});
+    }
 }
 
-// What the newest listing shows as leaving, or no longer shows, in place of what is held.
-void ListingDuty::note_leaving(Micros now, const weft::Listing& newest) {
-    std::set<std::pair<std::string, std::string>> serving;
-    for (const auto& server : newest.servers)
-        if (server.state == kServing) serving.insert({server.address, server.instance});
-    leaving_heard_ = {};
-    for (const auto& server : listing_.servers)
-        if (server.state == kServing && serving.count({server.address, server.instance}) == 0)
-            leaving_heard_.instances.push_back(server.instance);
-    leaving_heard_.from = newest.holder;
-    leaving_heard_.held_for = now - confirmed_at_;
-    leaving_heard_.epoch = newest.epoch;
-    leaving_heard_.version = newest.version;
+void ListingDuty::note_leaving(Micros now, const std::string& from, const ListingLabel& label,
+                               const std::vector<std::string>& instances) {
+    if (instances.empty()) return;
+    leaving_heard_.instances.insert(leaving_heard_.instances.end(), instances.begin(), instances.end());
+    leaving_heard_.from = from;
+    leaving_heard_.held_for = now - known_at_;
+    leaving_heard_.label = label;
 }
 
 LeavingHeard ListingDuty::leaving_news() {
@@ -128,76 +119,178 @@
     return news;
 }
 
-void ListingDuty::listed(Micros now, std::vector<weft::ServerRec> servers, weft::Out* out) {
-    asking_ = false;
+void ListingDuty::withdraw(Micros now, const std::string& from, const ListingLabel& label,
+                           const std::vector<std::uint64_t>& servers) {
+    for (const auto server : servers) withdrawals_.note(now, server, label);
+    note_leaving(now, from, label, pool_->withdraw(now, servers));
+}
+
+void ListingDuty::take(Micros now, const std::string& from, const weft::Listing& listing) {
+    const ListingLabel label = label_of(listing);
+    std::vector<std::uint64_t> withdrawn;
+    for (const auto& server : withdrawn_servers(listing_, listing))
+        withdrawn.push_back(server_hash(server.address, server.instance));
+    withdraw(now, from, label, withdrawn);
+    listing_ = listing;
+    for (const auto& server : listing.servers)
+        if (server.state == kServing)
+            withdrawals_.returned(server_hash(server.address, server.instance), label);
+    auto& freight = members_->freight();
+    freight.list_epoch = listing.epoch;
+    freight.list_version = listing.version;
+    pool_->listing(now, listing_);
+    pool_->withdraw(now, withdrawals_.beyond(label));  // an older listing does not bring them back
+}
+
+void ListingDuty::listed(Micros now, std::uint64_t question, std::vector<weft::ServerRec> servers,
+                         weft::Out* out) {
+    const auto found = questions_.find(question);
+    if (found == questions_.end()) return;
+    const Question asked = found->second;
+    questions_.erase(found);
+    if (question < answered_) return;  // a later one was answered first
+    answered_ = question;
     if (servers.empty() && !listing_.servers.empty()) return;  // an empty listing never wipes what is known
     // Somebody was faster, or this node stood still meanwhile: what it brings may be the older one.
-    if (held_as_asked_ < held()) return;
-    const bool fresh = now - asked_at_ <= tuning_.period;
-    const bool equal = known() && servers.size() == listing_.servers.size() &&
-                       std::equal(servers.begin(), servers.end(), listing_.servers.begin(), same);
-    confirmed_at_ = std::max(confirmed_at_, asked_at_);
-    if (equal) {
-        // Servers that were missing are let go in time, also where nothing else changes.
-        pool_->listing(now, listing_);
-        if (fresh && tells_others()) confirm(out);
+    if (asked.held < held() && listing_.holder != members_->name()) return;
+    if (now - asked.asked_at > tuning_.stale) {
+        next_question_ = std::min(next_question_, now);
         return;
     }
-    if (!tells_others() && known()) {  // for this node alone, until it hears the others again
-        listing_.servers = std::move(servers);
+    sort_servers(&servers);
+    const bool equal = known() && servers.size() == listing_.servers.size() &&
+                       std::equal(servers.begin(), servers.end(), listing_.servers.begin(), same_server);
+    const Micros known_before = known_at_;
+    if (equal || (!tells_others() && known())) {
+        // For this node alone, until it hears the others again; servers that were missing are let go in time,
+        // also where nothing else changes.
+        if (!equal) listing_.servers = std::move(servers);
         pool_->listing(now, listing_);
-        return;
+        pool_->withdraw(now, withdrawals_.beyond(held()));
+    } else {
+        weft::Listing next;
+        next.epoch = members_->take(kDuty);
+        next.holder = members_->name();
+        next.version =
+            next.epoch == listing_.epoch && next.holder == listing_.holder ? listing_.version + 1 : 1;
+        next.servers = std::move(servers);
+        const weft::Listing before = listing_;
+        take(now, members_->name(), next);
+        known_at_ = std::max(known_at_, asked.asked_at);
+        tell_change(now, before, out);
     }
-    weft::Listing next;
-    next.epoch = members_->take(kDuty);
-    next.holder = members_->name();
-    next.version = next.epoch == listing_.epoch && next.holder == listing_.holder ? listing_.version + 1 : 1;
-    next.servers = std::move(servers);
-    take(now, next);
+    confirmed_at_ = std::max(confirmed_at_, asked.asked_at);
+    known_at_ = std::max(known_before, asked.asked_at);
+    heard_at_ = now;
+    if (equal && tells_others()) tell_digest(now, out);
+}
+
+// What leaves goes first and by itself; the rest of the change follows, to control nodes as a whole listing.
+void ListingDuty::tell_change(Micros now, const weft::Listing& before, weft::Out* out) {
+    const auto change = difference(before, listing_);
+    history_.add(change);
     if (!tells_others()) return;
-    tell(listing_, true, out);
-    confirm_due_ = now + (large_fleet_ ? tuning_.confirm_after_large : tuning_.confirm_after);
+    tell_digest(now, out);
+    digest_due_ = now + tuning_.digest_again;
+    for (const auto* member : members_->live()) {
+        if (member->rec.role == "proxy" && before.epoch != 0)
+            out->push_back({member->rec.address, change});
+        else
+            out->push_back({member->rec.address, listing_});
+    }
 }
 
-void ListingDuty::failed(Micros now, Micros retry_after) {
-    asking_ = false;
+void ListingDuty::failed(Micros now, std::uint64_t question, Micros retry_after) {
+    questions_.erase(question);
     next_question_ = std::max(next_question_, now + retry_after);
 }
 
-bool ListingDuty::hear(Micros now, const std::string& from, const weft::Listing& told) {
-    if (!members_->accept(kDuty, told.epoch, told.holder)) return false;
-    if (!(held() < Label{told.epoch, told.holder, told.version})) return true;
-    take(now, told);
-    confirm_due_ = pith::kNever;  // what this node had asked for itself has been overtaken
-    if (from == told.holder) {
-        confirmed_at_ = now;  // it has just asked the platform
-    } else if (!(held() < wanted_)) {
-        confirmed_at_ = wanted_at_;
+// How old it is, its digest tells; without one it stands unconfirmed.
+void ListingDuty::taken_from(Micros now, const std::string& from) {
+    if (held() == wanted_) {
+        confirmed_at_ = std::max(confirmed_at_, wanted_at_);
+    } else if (from == listing_.holder) {
+        heard_at_ = std::max(heard_at_, now);  // its digest was lost, or is under way
     } else {
         // Passed on, and perhaps long ago: the first in the order asks at once, the others wait to hear of
         // it.
-        confirmed_at_ = -pith::kNever;
+        confirmed_at_ = heard_at_ = -pith::kNever;
         could_ask_since_ = next_question_ = now;
     }
+}
+
+bool ListingDuty::hear(Micros now, const std::string& from, const weft::Listing& told) {
+    if (!members_->accept(kDuty, told.epoch, told.holder)) return false;
+    if (!(held() < label_of(told))) return true;
+    weft::Listing listing = told;
+    sort_servers(&listing.servers);
+    history_.clear();
+    take(now, from, listing);
+    digest_due_ = pith::kNever;  // what this node had asked for itself has been overtaken
+    taken_from(now, from);
+    return true;
+}
+
+bool ListingDuty::hear(Micros now, const std::string& from, const weft::ListingChange& change) {
+    if (!members_->accept(kDuty, change.epoch, change.holder)) return false;
+    weft::Listing listing = listing_;
+    if (!known() || !apply(change, &listing)) return true;  // its digest tells that it is to be asked for
+    history_.add(change);
+    take(now, from, listing);
+    digest_due_ = pith::kNever;
+    taken_from(now, from);
     return true;
 }
 
-void ListingDuty::hear(Micros now, const std::string& from, const weft::ListingConfirmed& confirmed) {
-    const Label label{confirmed.epoch, confirmed.holder, confirmed.version};
+void ListingDuty::hear(Micros now, const std::string& from, std::uint64_t life,
+                       const weft::ListingDigest& told) {
+    const Micros late = tuning_.late_words_count_as_new ? 0 : delay_.late_by(now, from, life, told.sent_at);
+    const Micros asked_at = now - late - static_cast<Micros>(told.asked_ago);
+    const ListingLabel label{told.epoch, told.holder, told.version};
+    if (known_at_ < asked_at || held() < label) withdraw(now, from, label, told.withdrawn);
+    known_at_ = std::max(known_at_, asked_at);
     if (label < held()) return;
+    heard_at_ = std::max(heard_at_, now - late);
     if (!(held() < label)) {
-        confirmed_at_ = now;
+        confirmed_at_ = std::max(confirmed_at_, asked_at);
         return;
     }
-    // It may be on its way: a long one over a narrow link takes its time, and must not be sent twice for
-    // that.
-    if (wanted_ < label) next_seek_ = now + (large_fleet_ ? tuning_.transfer_large : tuning_.transfer);
+    // It may be on its way, and must not be sent twice for that.
+    if (wanted_ < label) next_seek_ = now + tuning_.transfer;
     wanted_ = label;
-    wanted_at_ = now;
+    wanted_at_ = asked_at;
     wanted_from_ = from;
     seek_elsewhere_ = false;
 }
 
+std::vector<std::string> ListingDuty::tellers() const {
+    std::vector<std::string> addresses;
+    for (const auto* member : members_->live("proxy"))
+        if (!large_fleet_ || beside_control_node(member->rec.address))
+            addresses.push_back(member->rec.address);
+    return addresses;
+}
+
+// A word that was lost is asked for: of one that tells after the other, each node beginning with another one.
+void ListingDuty::ask_for_digest(Micros now, weft::Out* out) {
+    if (!known() || now < next_digest_ask_ || now - known_at_ < period() + tuning_.digest_grace) return;
+    const auto others = tellers();
+    if (others.empty()) return;
+    next_digest_ask_ = now + tuning_.digest_each;
+    if (digest_asks_ == 0) digest_asks_ = static_cast<std::size_t>(server_hash(members_->name(), "") >> 1);
+    out->push_back({others[++digest_asks_ % others.size()], weft::ListingDigestAsk{listing_.epoch}});
+}
+
+void ListingDuty::hear(Micros now, const std::string& from, const weft::ListingDigestAsk&,
+                       weft::Out* out) const {
+    const std::string to = members_->address(from);
+    if (to.empty() || !known() || known_at_ < 0) return;
+    auto answer = digest(now);
+    answer.withdrawn = told_of(now);
+    if (answer.withdrawn.size() > kMostInDigest) answer.withdrawn.resize(kMostInDigest);
+    out->push_back({to, answer});
+}
+
 // A newer one is asked for until it is there: of who told of it, then of another that has it, by turns.
 void ListingDuty::seek(Micros now, const Surroundings& around, weft::Out* out) {
     if (!known() && now >= next_without_) {
@@ -220,13 +313,16 @@
     }
     seek_elsewhere_ = !seek_elsewhere_;
     if (!to.empty())
-        out->push_back({to, weft::ListingAsk{listing_.epoch, listing_.version, listing_.holder}});
+        out->push_back({to, weft::ListingAsk{listing_.epoch, listing_.version, listing_.holder, 1}});
 }
 
 void ListingDuty::hear(const std::string& from, const weft::ListingAsk& ask, weft::Out* out) const {
     const std::string to = members_->address(from);
-    const Label theirs{ask.epoch, ask.holder, ask.version};
-    if (!to.empty() && known() && theirs < held()) out->push_back({to, listing_});
+    const ListingLabel theirs{ask.epoch, ask.holder, ask.version};
+    if (to.empty() || !known() || !(theirs < held())) return;
+    const auto changes = ask.takes_changes != 0 ? history_.since(theirs) : std::vector<weft::ListingChange>{};
+    for (const auto& change : changes) out->push_back({to, change});
+    if (changes.empty()) out->push_back({to, listing_});
 }
 
 }  // namespace span
--- a/packages/span/src/pool.cpp
+++ b/packages/span/src/pool.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "pith/hash.hpp"
+#include "span/listing_changes.hpp"
 
 namespace span {
 
@@ -193,6 +194,24 @@
     }
 }
 
+std::vector<std::string> Pool::withdraw(Micros now, const std::vector<std::uint64_t>& servers) {
+    std::vector<std::string> withdrawn;
+    if (servers.empty()) return withdrawn;
+    const std::set<std::uint64_t> wanted(servers.begin(), servers.end());
+    for (const auto& [service, s] : shards()) {
+        Lock l(s->m);
+        const std::size_t before = withdrawn.size();
+        for (auto& [address, v] : s->s) {
+            if (v.rec.state != kServing || wanted.count(server_hash(address, v.rec.instance)) == 0) continue;
+            v.rec.state = kLeaving;
+            if (v.missing == 0) v.missing = now;
+            withdrawn.push_back(v.rec.instance);
+        }
+        if (withdrawn.size() > before) rank(s, service);
+    }
+    return withdrawn;
+}
+
 void Pool::mark(const std::string& address, bool drain) {
     {
         Lock l(m_);
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -169,9 +169,10 @@
         log_event(Level::info, "servers_leaving",
                   {{"count", heard.instances.size()},
                    {"instances", named},
-                   {"asked_by", heard.from},
-                   {"epoch", heard.epoch},
-                   {"version", heard.version},
+                   {"told_by", heard.from},
+                   {"asked_by", heard.label.holder},
+                   {"epoch", heard.label.epoch},
+                   {"version", heard.label.version},
                    {"known_before_ms", heard.held_for / pith::kMilli}});
     }
 
@@ -185,16 +186,16 @@
                       {{"number", core_->policy()->number()},
                        {"hash", core_->policy()->bundle().hash.substr(0, 16)}});
         }
-        hall_.servers_known_at = core_->listing_confirmed_at();
+        hall_.servers_known_at = core_->servers_known_at();
         hall_.behind_until = core_->behind_until();  // after the policy: no refusal out of the older one slips through
-        if (d.list)
+        if (d.list != 0)
             asio::spawn(
-                ctl_->io, [this](asio::yield_context y) { list(y); }, asio::detached);
+                ctl_->io, [this, question = d.list](asio::yield_context y) { list(question, y); }, asio::detached);
         if (!d.probe.empty()) probe(std::move(d.probe));
     }
 
     // Page after page; a part of a listing is never taken for the whole.
-    void list(asio::yield_context y) {
+    void list(std::uint64_t question, asio::yield_context y) {
         constexpr int kMostPages = 1000;
         std::vector<weft::ServerRec> v;
         std::string next;
@@ -211,7 +212,7 @@
         const Micros now = pith::mono_now();
         if (whole) {
             Todo d;
-            core_->listed(now, std::move(v), &d);
+            core_->listed(now, question, std::move(v), &d);
             carry_out(d);
             return;
         }
@@ -220,7 +221,7 @@
             after =
                 std::min<Micros>(30, std::atoi(std::string((*a)[weft::http::field::retry_after]).c_str())) *
                 pith::kSecond;
-        core_->list_failed(now, after);
+        core_->list_failed(now, question, after);
         std::uint64_t held = 0;
         if (list_seldom_.pass(now, &held))
             log_event(Level::warn, "listing_failed",
--- /dev/null
+++ b/packages/span/src/withdrawals.cpp
@@ -0,0 +1,34 @@
+#include "span/withdrawals.hpp"
+
+namespace span {
+
+void Withdrawals::note(pith::Micros now, std::uint64_t server, const ListingLabel& label) {
+    const auto added = servers_.emplace(server, Noted{now, label});
+    if (!added.second && added.first->second.label < label) added.first->second.label = label;
+}
+
+void Withdrawals::returned(std::uint64_t server, const ListingLabel& label) {
+    const auto found = servers_.find(server);
+    if (found != servers_.end() && !(label < found->second.label)) servers_.erase(found);
+}
+
+void Withdrawals::forget_old(pith::Micros now) {
+    for (auto i = servers_.begin(); i != servers_.end();)
+        i = now - i->second.at > kKept ? servers_.erase(i) : std::next(i);
+}
+
+std::vector<std::uint64_t> Withdrawals::recent(pith::Micros now) const {
+    std::vector<std::uint64_t> servers;
+    for (const auto& server : servers_)
+        if (now - server.second.at <= kTold) servers.push_back(server.first);
+    return servers;
+}
+
+std::vector<std::uint64_t> Withdrawals::beyond(const ListingLabel& label) const {
+    std::vector<std::uint64_t> servers;
+    for (const auto& server : servers_)
+        if (label < server.second.label) servers.push_back(server.first);
+    return servers;
+}
+
+}  // namespace span
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -172,12 +172,25 @@
 WEFT_STRUCT(ServerRec, SERVER_REC)
 #define LISTING(F) F(U64, epoch) F(Str, holder) F(U64, version) F(std::vector<ServerRec>, servers)
 WEFT_STRUCT(Listing, LISTING)
-// What the asker holds.
-#define LISTING_ASK(F) F(U64, epoch) F(U64, version) F(Str, holder)
+// What the asker holds. takes_changes: it takes ListingChange for an answer.
+#define LISTING_ASK(F) F(U64, epoch) F(U64, version) F(Str, holder) F(U8, takes_changes)
 WEFT_STRUCT(ListingAsk, LISTING_ASK)
-// The platform was just asked, and this listing is what it still says (docs/design.md 7.2).
-#define LISTING_CONFIRMED(F) F(U64, epoch) F(Str, holder) F(U64, version)
-WEFT_STRUCT(ListingConfirmed, LISTING_CONFIRMED)
+// What the platform said of the servers when it was asked last, in brief (docs/design.md 7.2): the listing of this label.
+// asked_ago: microseconds since then, as the sender left it. sent_at: the sender's monotonic clock, by which a receiver
+// tells how late the digest is. withdrawn: server_hash of servers that were found to leave, or to be gone, of late.
+#define LISTING_DIGEST(F) \
+    F(U64, epoch) F(Str, holder) F(U64, version) F(U64, asked_ago) F(U64, sent_at) F(std::vector<U64>, withdrawn)
+WEFT_STRUCT(ListingDigest, LISTING_DIGEST)
+// Asks for the newest digest.
+#define LISTING_DIGEST_ASK(F) F(U64, epoch)
+WEFT_STRUCT(ListingDigestAsk, LISTING_DIGEST_ASK)
+// A listing by what differs from the one before: servers that are new or have changed, and addresses that are gone.
+#define LISTING_CHANGE(F)                                                                                   \
+    F(U64, base_epoch)                                                                                      \
+    F(Str, base_holder)                                                                                     \
+    F(U64, base_version)                                                                                    \
+    F(U64, epoch) F(Str, holder) F(U64, version) F(std::vector<ServerRec>, changed) F(std::vector<Str>, removed)
+WEFT_STRUCT(ListingChange, LISTING_CHANGE)
 #define PROBE_REC(F) F(Str, address) F(Str, instance) F(U8, verdict)
 WEFT_STRUCT(ProbeRec, PROBE_REC)
 #define PROBES(F) F(std::vector<ProbeRec>, probes)
@@ -211,8 +224,10 @@
     X(33, BundleSaid)                                                                               \
     X(34, RelayAsk)                                                                                 \
     X(35, RelayedCounts)                                                                            \
-    X(36, ListingConfirmed)                                                                         \
-    X(37, FleetSums)
+    X(36, ListingDigest)                                                                            \
+    X(37, FleetSums)                                                                                \
+    X(38, ListingDigestAsk)                                                                         \
+    X(39, ListingChange)
 
 #define X(t, n) , n
 using Msg = std::variant<std::monostate WEFT_MESSAGES(X)>;
--- a/packages/weft/src/link.cpp
+++ b/packages/weft/src/link.cpp
@@ -132,7 +132,8 @@
            std::holds_alternative<AcceptSaid>(m) || std::holds_alternative<FoundingAsk>(m) ||
            std::holds_alternative<Decided>(m) || std::holds_alternative<BundleAsk>(m) ||
            std::holds_alternative<ContentAsk>(m) || std::holds_alternative<RelayAsk>(m) ||
-           std::holds_alternative<RelayedCounts>(m) || std::holds_alternative<ListingConfirmed>(m) ||
+           std::holds_alternative<RelayedCounts>(m) || std::holds_alternative<ListingDigest>(m) ||
+           std::holds_alternative<ListingDigestAsk>(m) || std::holds_alternative<ListingChange>(m) ||
            std::holds_alternative<FleetSums>(m);
 }
 
