span: a digest names its question, so nodes do not keep old knowledge young

Cause: the answer to a digest ask counted as a word that somebody had asked, and each node that passes an age on makes it a little younger. Now the question is named, and only one that is newer by name counts.

--- a/packages/mime/include/mime/fleet.hpp
+++ b/packages/mime/include/mime/fleet.hpp
@@ -62,6 +62,8 @@
     std::string settings_file(const std::string& name) const { return p_.folder + "/" + name + ".json"; }
     std::string data_folder(const std::string& name) const { return p_.folder + "/" + name + ".data"; }
     void list_servers(const std::vector<std::string>& names);          // tells the platform
+    void list_rows(const std::string& servers);  // the same, as the JSON array of its listing
+    void stop_all(int signal);                   // to every process that runs
     std::string run(const std::vector<std::string>& argv, int* code);  // the program, to its end
     std::string sample_bundle(int number, double scale = 1.0) const;
     std::string sign(const std::string& bundle) const;
--- a/packages/mime/src/fleet.cpp
+++ b/packages/mime/src/fleet.cpp
@@ -337,11 +337,21 @@
                                  {"locality", s.locality},
                                  {"state", "serving"}});
     }
+    list_rows(json::serialize(a));
+}
+
+void Fleet::list_rows(const std::string& servers) {
     weft::Ask q{weft::http::verb::post, "/control", 11};
-    q.body() = json::serialize(json::object{{"servers", a}});
+    q.body() = "{\"servers\":" + servers + "}";
     weft::call_blocking(platform_, q, 5 * pith::kSecond);
 }
 
+void Fleet::stop_all(int signal) {
+    Lock l(m_);
+    for (auto& c : child_)
+        if (c.second.pid > 0) ::kill(c.second.pid, signal);
+}
+
 std::string Fleet::run(const std::vector<std::string>& args, int* code) {
     std::vector<std::string> v{p_.program};
     v.insert(v.end(), args.begin(), args.end());
--- a/packages/mime/src/main.cpp
+++ b/packages/mime/src/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "mime/fleet.hpp"
+#include "mime/soak.hpp"
 #include "mime/stand_ins.hpp"
 #include "pith/flags.hpp"
 #include "pith/hash.hpp"
@@ -30,6 +31,11 @@
 DEFINE_string(folder, "run", "fleet: folder for settings, data and logs");
 DEFINE_int32(proxy_count, 5, "fleet: proxies");
 DEFINE_int32(servers_each, 2, "fleet: servers of each of the three services");
+DEFINE_string(seeds, "1-3", "soak: seeds, A-B, one run each");
+DEFINE_int32(keeper_count, 3, "soak: control nodes");
+DEFINE_int32(server_count, 9, "soak: servers, in this process");
+DEFINE_int32(caller_count, 24, "soak: callers, in this process");
+DEFINE_double(pause_s, 0.8, "soak: mean time between two troubles");
 DEFINE_bool(echo, false, "fleet: logs to the terminal too");
 
 namespace {
@@ -37,7 +43,8 @@
 const std::vector<std::string> kFlags = {"listen",      "service",      "instance", "work_ms", "proxies",
                                          "key",         "method",       "path",     "rate",    "seconds",
                                          "seed",        "deadline_ms",  "retry",    "program", "folder",
-                                         "proxy_count", "servers_each", "echo"};
+                                         "proxy_count", "servers_each", "echo",     "seeds",   "keeper_count",
+                                         "server_count", "caller_count", "pause_s"};
 
 int listening(const pith::Result<std::string>& a, boost::asio::io_context& io) {
     if (!a) {
@@ -51,17 +58,20 @@
     return 0;
 }
 
+std::string self_path() {
+    char me[4096];
+    const ssize_t n = ::readlink("/proc/self/exe", me, sizeof me - 1);
+    return n > 0 ? std::string(me, static_cast<std::size_t>(n)) : std::string("/proc/self/exe");
+}
+
 int fleet() {
     mime::FleetPlan p;
     p.program = FLAGS_program;
-    p.mime = "/proc/self/exe";
     p.folder = FLAGS_folder;
     p.proxies = FLAGS_proxy_count;
     for (auto& s : p.servers) s.second = FLAGS_servers_each;
     p.echo = FLAGS_echo;
-    char me[4096];
-    const ssize_t n = ::readlink("/proc/self/exe", me, sizeof me - 1);
-    if (n > 0) p.mime = std::string(me, static_cast<std::size_t>(n));
+    p.mime = self_path();
     if (p.program.empty()) {
         std::cerr << "mime: fleet needs --program=PATH of marblesaddle\n";
         return 2;
@@ -90,8 +100,39 @@
     return 0;
 }
 
+// Runs of a whole fleet under troubles, one for each seed; 1 where a rule was broken in any.
+int soak(const std::string& self) {
+    const auto dash = FLAGS_seeds.find('-');
+    const std::uint64_t first = std::strtoull(FLAGS_seeds.c_str(), nullptr, 10);
+    const std::uint64_t last =
+        dash == std::string::npos ? first : std::strtoull(FLAGS_seeds.c_str() + dash + 1, nullptr, 10);
+    std::uint64_t broken = 0;
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        mime::SoakPlan plan;
+        plan.fleet.program = FLAGS_program;
+        plan.fleet.mime = self;
+        plan.fleet.folder = FLAGS_folder + "-" + std::to_string(seed);
+        plan.fleet.keepers = FLAGS_keeper_count;
+        plan.fleet.proxies = FLAGS_proxy_count;
+        plan.servers = FLAGS_server_count;
+        plan.callers = FLAGS_caller_count;
+        plan.seconds = FLAGS_seconds;
+        plan.pause_s = FLAGS_pause_s;
+        plan.seed = seed;
+        const auto verdict = mime::soak(plan);
+        if (!verdict) {
+            std::cerr << "mime: " << verdict.error().message << "\n";
+            return 2;
+        }
+        std::cout << "seed=" << seed << " " << verdict->line() << std::endl;
+        broken += verdict->broken.empty() ? 0 : 1;
+    }
+    std::cout << "runs=" << last - first + 1 << " broken=" << broken << "\n";
+    return broken == 0 ? 0 : 1;
+}
+
 std::string usage() {
-    return "usage: mime platform|server|callers|fleet [FLAGS]\n\nflags:\n" + pith::flag_help(kFlags);
+    return "usage: mime platform|server|callers|fleet|soak [FLAGS]\n\nflags:\n" + pith::flag_help(kFlags);
 }
 
 }  // namespace
@@ -146,6 +187,7 @@
         return 0;
     }
     if (args[0] == "fleet") return fleet();
+    if (args[0] == "soak") return soak(self_path());
     std::cerr << usage();
     return 2;
 }
--- /dev/null
+++ b/packages/mime/test/soak.cpp
@@ -0,0 +1,82 @@
+#define BOOST_TEST_MODULE mime_soak
+#include "mime/soak.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+
+// Seeded runs of a whole fleet of real processes under troubles that overlap, judged by what callers and
+// servers saw (docs/proof.md, "Soak"). `mime soak` runs as many seeds, and as large a fleet, as one likes.
+
+using namespace mime;
+using pith::kMilli;
+
+namespace {
+
+SoakVerdict run(std::uint64_t seed) {
+    char folder[] = "/tmp/ms-soak-XXXXXX";
+    SoakPlan plan;
+    plan.fleet.program = MS_PROGRAM;
+    plan.fleet.mime = MS_MIME;
+    plan.fleet.folder = ::mkdtemp(folder);
+    plan.seconds = 18;
+    plan.seed = seed;
+    const auto verdict = soak(plan);
+    BOOST_REQUIRE_MESSAGE(verdict.has_value(), pith::why(verdict));
+    if (verdict->broken.empty() && std::system(("rm -rf " + plan.fleet.folder).c_str()) != 0)
+        BOOST_TEST_MESSAGE("not removed: " << plan.fleet.folder);
+    return *verdict;
+}
+
+// An account in which one request is as it should not be.
+struct Account {
+    SoakLedger ledger;
+    SoakVerdict judge() { return ledger.judge(); }
+    bool breaks(SoakRule rule) { return judge().broken.count(rule) != 0; }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(each_rule_is_seen_to_be_broken) {
+    Account mixed;
+    mixed.ledger.sent("a", "p1", false);
+    mixed.ledger.ended("a", CallerEnd::answered, 200, "b");
+    BOOST_TEST(mixed.breaks(SoakRule::mixed));
+
+    Account twice;
+    twice.ledger.sent("a", "p1", true);
+    twice.ledger.arrived("a", "i1", kMilli);
+    BOOST_TEST(!twice.breaks(SoakRule::twice));
+    twice.ledger.arrived("a", "i2", kMilli);
+    BOOST_TEST(twice.breaks(SoakRule::twice));
+
+    Account refused;
+    refused.ledger.sent("a", "p1", true);
+    refused.ledger.arrived("a", "i1", kMilli);
+    refused.ledger.ended("a", CallerEnd::answered, 503, "", true);
+    BOOST_TEST(refused.breaks(SoakRule::refused));
+
+    Account lost;
+    lost.ledger.sent("a", "p1", false);
+    lost.ledger.arrived("a", "i1", kMilli);
+    lost.ledger.ended("a", CallerEnd::cut);
+    BOOST_TEST(lost.breaks(SoakRule::lost));
+
+    Account killed;  // a node that was killed promises nothing
+    killed.ledger.troubled("p1");
+    killed.ledger.sent("a", "p1", false);
+    killed.ledger.arrived("a", "i1", kMilli);
+    killed.ledger.ended("a", CallerEnd::cut);
+    BOOST_TEST(!killed.breaks(SoakRule::lost));
+    BOOST_TEST(killed.judge().not_judged == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(no_rule_is_broken_under_troubles_that_overlap) {
+    std::uint64_t requests = 0;
+    for (const std::uint64_t seed : {1u, 2u, 3u}) {
+        const auto verdict = run(seed);
+        BOOST_TEST_MESSAGE("seed=" << seed << " " << verdict.line());
+        BOOST_TEST(verdict.broken.empty(), "seed=" << seed << " " << verdict.line());
+        requests += verdict.requests;
+    }
+    BOOST_TEST(requests > 100u);
+}
--- a/packages/span/include/span/listing_duty.hpp
+++ b/packages/span/include/span/listing_duty.hpp
@@ -22,6 +22,23 @@
 
 namespace span {
 
+/// A question to the platform, named for the whole fleet.
+struct PlatformQuestion {
+    std::string asked_by;
+    std::uint64_t life = 0, number = 0;
+};
+
+/// Which questions' answers are known here. How long ago one was asked is only estimated, a little too young
+/// with each node that passes it on; so what counts as newer is told by the question, never by the estimate.
+class KnownQuestions {
+  public:
+    /// True where this one is newer than all that are known of who asked it.
+    bool add(const PlatformQuestion& question);
+
+  private:
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> newest_;  // by who asked: life, number
+};
+
 /// Servers that were just learnt to leave, for operators' logs.
 struct LeavingHeard {
     std::vector<std::string> instances;
@@ -109,6 +126,7 @@
     void taken_from(pith::Micros now, const std::string& from);
     void withdraw(pith::Micros now, const std::string& from, const ListingLabel& label,
                   const std::vector<std::uint64_t>& servers);
+    void answered(pith::Micros now, pith::Micros asked_at, const PlatformQuestion& question);
     void tell_change(pith::Micros now, const weft::Listing& before, weft::Out* out);
     void tell_digest(pith::Micros now, weft::Out* out) const;
     weft::ListingDigest digest(pith::Micros now) const;
@@ -123,9 +141,11 @@
     ListingHistory history_;
     Withdrawals withdrawals_;
     FrameDelay delay_;
-    pith::Micros confirmed_at_ = -pith::kNever;     // when the platform was asked that showed what is held
-    pith::Micros known_at_ = -pith::kNever;         // the same for what leaves, of which digests tell earlier
-    pith::Micros heard_at_ = -pith::kNever;         // when the last word of that was sent
+    pith::Micros confirmed_at_ = -pith::kNever;  // when the platform was asked that showed what is held
+    pith::Micros known_at_ = -pith::kNever;      // the same for what leaves, of which digests tell earlier
+    pith::Micros heard_at_ = -pith::kNever;      // when a word of a newer question was sent last
+    KnownQuestions known_questions_;
+    PlatformQuestion known_by_;                     // the question that known_at_ is of
     pith::Micros could_ask_since_ = -pith::kNever;  // since when what is held could have been confirmed
     bool large_fleet_ = false;
     // Questions to the platform that are under way, by number.
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -14,6 +14,14 @@
 std::string host_of(const std::string& address) { return address.substr(0, address.rfind(':')); }
 }  // namespace
 
+bool KnownQuestions::add(const PlatformQuestion& question) {
+    auto& newest = newest_[question.asked_by];
+    const std::pair<std::uint64_t, std::uint64_t> asked{question.life, question.number};
+    if (!(newest < asked)) return false;
+    newest = asked;
+    return true;
+}
+
 bool ListingDuty::beside_control_node(const std::string& address) const {
     for (const auto* member : members_->live("keeper"))
         if (host_of(member->rec.address) == host_of(address)) return true;
@@ -83,6 +91,9 @@
     digest.epoch = label.epoch;
     digest.holder = label.holder;
     digest.version = label.version;
+    digest.asked_by = known_by_.asked_by;
+    digest.asked_life = known_by_.life;
+    digest.question = known_by_.number;
     digest.asked_ago = static_cast<std::uint64_t>(std::max<Micros>(0, now - known_at_));
     digest.sent_at = static_cast<std::uint64_t>(now);
     return digest;
@@ -160,7 +171,8 @@
     sort_servers(&servers);
     const bool equal = known() && servers.size() == listing_.servers.size() &&
                        std::equal(servers.begin(), servers.end(), listing_.servers.begin(), same_server);
-    const Micros known_before = known_at_;
+    const PlatformQuestion own{members_->name(), members_->inc(), question};
+    known_questions_.add(own);
     if (equal || (!tells_others() && known())) {
         // For this node alone, until it hears the others again; servers that were missing are let go in time,
         // also where nothing else changes.
@@ -176,13 +188,20 @@
         next.servers = std::move(servers);
         const weft::Listing before = listing_;
         take(now, members_->name(), next);
-        known_at_ = std::max(known_at_, asked.asked_at);
+        answered(now, asked.asked_at, own);
         tell_change(now, before, out);
+        return;
     }
-    confirmed_at_ = std::max(confirmed_at_, asked.asked_at);
-    known_at_ = std::max(known_before, asked.asked_at);
+    answered(now, asked.asked_at, own);
+    if (tells_others()) tell_digest(now, out);
+}
+
+void ListingDuty::answered(Micros now, Micros asked_at, const PlatformQuestion& question) {
+    confirmed_at_ = std::max(confirmed_at_, asked_at);
     heard_at_ = now;
-    if (equal && tells_others()) tell_digest(now, out);
+    if (known_at_ >= asked_at) return;
+    known_at_ = asked_at;
+    known_by_ = question;
 }
 
 // What leaves goes first and by itself; the rest of the change follows, to control nodes as a whole listing.
@@ -247,18 +266,23 @@
     const Micros late = tuning_.late_words_count_as_new ? 0 : delay_.late_by(now, from, life, told.sent_at);
     const Micros asked_at = now - late - static_cast<Micros>(told.asked_ago);
     const ListingLabel label{told.epoch, told.holder, told.version};
-    if (known_at_ < asked_at || held() < label) withdraw(now, from, label, told.withdrawn);
-    known_at_ = std::max(known_at_, asked_at);
+    const PlatformQuestion question{told.asked_by, told.asked_life, told.question};
+    const bool news = known_questions_.add(question);
+    if (news || !(label < held())) withdraw(now, from, label, told.withdrawn);
+    if (news && known_at_ < asked_at) {
+        known_at_ = asked_at;
+        known_by_ = question;
+        heard_at_ = std::max(heard_at_, now - late);
+    }
     if (label < held()) return;
-    heard_at_ = std::max(heard_at_, now - late);
     if (!(held() < label)) {
-        confirmed_at_ = std::max(confirmed_at_, asked_at);
+        if (news) confirmed_at_ = std::max(confirmed_at_, asked_at);
         return;
     }
     // It may be on its way, and must not be sent twice for that.
     if (wanted_ < label) next_seek_ = now + tuning_.transfer;
+    if (news || wanted_ < label) wanted_at_ = asked_at;
     wanted_ = label;
-    wanted_at_ = asked_at;
     wanted_from_ = from;
     seek_elsewhere_ = false;
 }
--- a/packages/span/test/listing_duty.cpp
+++ b/packages/span/test/listing_duty.cpp
@@ -72,6 +72,14 @@
         return latest == pith::kNever ? latest : latest - left_at_;
     }
     std::uint64_t questions() const { return questions_; }
+    // How much younger than in truth the oldest answer is held to be, at the node that is furthest off.
+    Micros believed_too_young() const {
+        Micros most = 0;
+        for (const auto& node : nodes_)
+            if (node->loss == Loss::none)
+                most = std::max(most, node->duty->known_at() - last_answered_asked_at_);
+        return most;
+    }
 
   private:
     struct Node {
@@ -127,6 +135,7 @@
     }
     void listed(std::size_t i, std::uint64_t question, const std::vector<weft::ServerRec>& servers) {
         if (!runs(i)) return;
+        last_answered_asked_at_ = std::max(last_answered_asked_at_, now_ - kAnswer);
         weft::Out out;
         nodes_[i]->duty->listed(now_, question, servers, &out);
         send(i, out);
@@ -171,7 +180,7 @@
     std::vector<std::unique_ptr<Node>> nodes_;
     std::priority_queue<Event> events_;
     std::uint64_t events_made_ = 0, questions_ = 0;
-    Micros now_ = 0, left_at_ = 0;
+    Micros now_ = 0, left_at_ = 0, last_answered_asked_at_ = 0;
     std::vector<weft::ServerRec> servers_;
 };
 
@@ -228,6 +237,26 @@
     }
 }
 
+// Nodes that ask each other do not keep the knowledge of all young: where frames are lost the platform is
+// asked as often, and nobody holds what is known for younger than it is by more than a frame takes.
+BOOST_AUTO_TEST_CASE(nodes_that_ask_each_other_do_not_make_old_knowledge_young) {
+    for (const std::size_t nodes : {3u, 15u, 84u}) {
+        Fleet fleet(nodes, 11, 0.3);
+        fleet.run_until(kSettled);
+        const auto before = fleet.questions();
+        Micros too_young = 0;
+        for (int step = 0; step < 120; ++step) {
+            fleet.run_until(fleet.now() + 100 * kMilli);
+            too_young = std::max(too_young, fleet.believed_too_young());
+        }
+        BOOST_TEST_MESSAGE(nodes << " nodes: " << fleet.questions() - before
+                                 << " questions in 12 s, believed too young by " << too_young / kMilli
+                                 << " ms");
+        BOOST_TEST(fleet.questions() - before >= (nodes > 24 ? 18u : 10u));
+        BOOST_TEST(too_young <= 100 * kMilli);
+    }
+}
+
 namespace {
 // One node that hears what others say.
 struct Alone {
@@ -304,8 +333,12 @@
 // A digest that was seconds on its way is no news of the platform; how late it is shows in the sender's
 // clock.
 BOOST_AUTO_TEST_CASE(a_digest_that_is_late_does_not_count_as_new) {
-    const auto digest = [](Micros sent_at) {
+    std::uint64_t questions = 0;
+    const auto digest = [&questions](Micros sent_at) {
         weft::ListingDigest said;
+        said.asked_by = "p1";
+        said.asked_life = 1;
+        said.question = ++questions;
         said.epoch = 2;
         said.holder = "p1";
         said.version = 1;
@@ -343,7 +376,8 @@
     BOOST_TEST(stands(x));
     weft::ListingDigest digest;
     digest.epoch = 2;
-    digest.holder = "p1";
+    digest.holder = digest.asked_by = "p1";
+    digest.question = 1;
     digest.version = 3;
     digest.sent_at = 10 * kSecond;
     digest.withdrawn = {server_hash("10.0.0.1:80", "s")};
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -176,10 +176,15 @@
 #define LISTING_ASK(F) F(U64, epoch) F(U64, version) F(Str, holder) F(U8, takes_changes)
 WEFT_STRUCT(ListingAsk, LISTING_ASK)
 // What the platform said of the servers when it was asked last, in brief (docs/design.md 7.2): the listing of this label.
-// asked_ago: microseconds since then, as the sender left it. sent_at: the sender's monotonic clock, by which a receiver
-// tells how late the digest is. withdrawn: server_hash of servers that were found to leave, or to be gone, of late.
-#define LISTING_DIGEST(F) \
-    F(U64, epoch) F(Str, holder) F(U64, version) F(U64, asked_ago) F(U64, sent_at) F(std::vector<U64>, withdrawn)
+// asked_by, asked_life, question: which question to the platform that was, by whom. asked_ago: microseconds since then, as the
+// sender left it. sent_at: the sender's monotonic clock, by which a receiver tells how late the digest is. withdrawn:
+// server_hash of servers that were found to leave, or to be gone, of late.
+#define LISTING_DIGEST(F)                                                                           \
+    F(U64, epoch)                                                                                   \
+    F(Str, holder)                                                                                  \
+    F(U64, version)                                                                                 \
+    F(Str, asked_by)                                                                                \
+    F(U64, asked_life) F(U64, question) F(U64, asked_ago) F(U64, sent_at) F(std::vector<U64>, withdrawn)
 WEFT_STRUCT(ListingDigest, LISTING_DIGEST)
 // Asks for the newest digest.
 #define LISTING_DIGEST_ASK(F) F(U64, epoch)
