span: one question to the platform at a time, more grace in a large fleet

The platform paces all calls together and a busy machine reads slowly, so questions beside each other made all slow, and nodes that heard nothing asked as well.

--- a/packages/mime/include/mime/soak_ledger.hpp
+++ b/packages/mime/include/mime/soak_ledger.hpp
@@ -37,6 +37,7 @@
     CallerEnd end = CallerEnd::open;
     int status = 0;
     std::string answers_try;  ///< the try that the answer names
+    std::string left_by;      ///< how the caller ended the connection
     bool says_not_run = false;
     std::vector<SoakArrival> arrivals;
 };
@@ -47,6 +48,7 @@
 
 struct SoakVerdict {
     std::map<SoakRule, std::vector<std::string>> broken;
+    std::vector<std::string> seen;  ///< too few for a rule to be broken
     std::uint64_t requests = 0, answered = 0, left = 0, cut = 0, not_judged = 0;
     std::uint64_t worked_on = 0, would_have_lasted = 0;  ///< reads whose callers had left for half a second
     std::uint64_t sent_after_leaving = 0;                ///< over half a second after the caller had left
@@ -59,6 +61,7 @@
     void sent(const std::string& try_id, const std::string& proxy, bool write);
     void ended(const std::string& try_id, CallerEnd end, int status = 0, const std::string& answers_try = {},
                bool says_not_run = false);
+    void left(const std::string& try_id, const std::string& way);
     /// Gives the number of the arrival, for worked().
     std::size_t arrived(const std::string& try_id, const std::string& instance, pith::Micros would_last);
     void worked(const std::string& try_id, std::size_t arrival, WorkEnd end);
--- a/packages/mime/src/fleet.cpp
+++ b/packages/mime/src/fleet.cpp
@@ -153,6 +153,8 @@
     posix_spawn_file_actions_init(&fa);
     posix_spawn_file_actions_adddup2(&fa, p[1], 2);
     posix_spawn_file_actions_adddup2(&fa, p[1], 1);
+    // Sockets of callers and servers in this process would stay open in the child after they are closed here.
+    posix_spawn_file_actions_addclosefrom_np(&fa, 3);
     std::vector<char*> v;
     for (const auto& a : argv) v.push_back(const_cast<char*>(a.c_str()));
     v.push_back(nullptr);
--- a/packages/mime/src/soak_callers.cpp
+++ b/packages/mime/src/soak_callers.cpp
@@ -27,6 +27,7 @@
 constexpr int kWaitBeyondMs = 3000;                 // for an answer, beyond the deadline
 constexpr int kLeastStayMs = 5, kMostStayMs = 500;  // of a caller that leaves
 enum class Leaving { close, reset, half_close, behind_bytes };
+constexpr const char* kLeaving[] = {"close", "reset", "half-close", "close behind bytes"};
 }  // namespace
 
 struct SoakCallers::Caller {
@@ -109,7 +110,7 @@
             const std::string next = text(try_id + "-behind", false).substr(0, 40);
             asio::async_write(*stream_, asio::buffer(next), yield[ec]);
         }
-        all_.ledger_.ended(try_id, CallerEnd::left);
+        all_.ledger_.left(try_id, kLeaving[static_cast<std::size_t>(how)]);
         if (how == Leaving::half_close || how == Leaving::behind_bytes) {
             stream_->socket().shutdown(tcp::socket::shutdown_send, ec);
             pause(kMostStayMs, yield);
--- a/packages/mime/src/soak_ledger.cpp
+++ b/packages/mime/src/soak_ledger.cpp
@@ -60,6 +60,12 @@
     request.says_not_run = says_not_run;
 }
 
+void SoakLedger::left(const std::string& try_id, const std::string& way) {
+    ended(try_id, CallerEnd::left);
+    Lock lock(mutex_);
+    requests_[try_id].left_by = way;
+}
+
 std::size_t SoakLedger::arrived(const std::string& try_id, const std::string& instance, Micros would_last) {
     Lock lock(mutex_);
     auto& arrivals = requests_[try_id].arrivals;
@@ -158,14 +164,19 @@
             ++verdict->sent_after_leaving;
             note(verdict, SoakRule::gone,
                  try_id + " was sent " + std::to_string((arrival.at - request.ended_at) / kMilli) +
-                     " ms after its caller had left, " + std::to_string((arrival.at - request.sent_at) / kMilli) +
-                     " ms after it came, from " + request.proxy);
+                     " ms after its caller had left, " +
+                     std::to_string((arrival.at - request.sent_at) / kMilli) + " ms after it came, by " +
+                     request.left_by + ", from " + request.proxy);
             continue;
         }
         if (request.write || arrival.at + arrival.would_last <= by) continue;
         ++verdict->would_have_lasted;
-        const bool goes_on = arrival.end == WorkEnd::open || arrival.until > by;
-        verdict->worked_on += goes_on ? 1 : 0;
+        if (arrival.end != WorkEnd::open && arrival.until <= by) continue;
+        ++verdict->worked_on;
+        note(verdict, SoakRule::gone,
+             try_id + " was worked on, its caller left " +
+                 std::to_string((request.ended_at - request.sent_at) / kMilli) + " ms after it came, by " +
+                 request.left_by + ", to " + request.proxy);
     }
 }
 
@@ -181,7 +192,10 @@
         judge_leaving_caller(try_id, request, &verdict);
     }
     // "More than a few" are sent late; more than a quarter are worked on.
-    if (verdict.sent_after_leaving <= kFew) verdict.broken.erase(SoakRule::gone);
+    if (verdict.sent_after_leaving <= kFew) {
+        verdict.seen = verdict.broken[SoakRule::gone];
+        verdict.broken.erase(SoakRule::gone);
+    }
     if (verdict.would_have_lasted > kFew && 4 * verdict.worked_on > verdict.would_have_lasted)
         note(&verdict, SoakRule::gone,
              std::to_string(verdict.worked_on) + " of " + std::to_string(verdict.would_have_lasted) +
@@ -197,6 +211,7 @@
                        " of=" + std::to_string(would_have_lasted) +
                        " sent_after_leaving=" + std::to_string(sent_after_leaving) +
                        " latest_to_leaving=" + std::to_string(latest_to_leaving / kMilli) + "ms";
+    for (const auto& one : seen) text += "\n    seen " + one;
     for (const auto& [rule, cases] : broken) {
         text += std::string("\n    BROKEN ") + soak_rule_text(rule);
         for (const auto& one : cases) text += "\n      " + one;
--- a/packages/span/include/span/listing_duty.hpp
+++ b/packages/span/include/span/listing_duty.hpp
@@ -56,8 +56,10 @@
         pith::Micros period_large = 600 * pith::kMilli;
         pith::Micros grace = 150 * pith::kMilli;  ///< beyond the period, before the second in the order asks
         pith::Micros step = 100 * pith::kMilli;   ///< from one to the next in the order
-        std::size_t steps = 8;                    ///< behind so many all ask at once, and seldom
-        std::size_t under_way = 3;  ///< questions at a time: a slow answer does not put off the next question
+        /// The same in a large fleet. Its listing has many pages, and the platform paces all calls together:
+        /// who asks beside another makes both slow, and so still others ask.
+        pith::Micros grace_large = 300 * pith::kMilli, step_large = 150 * pith::kMilli;
+        std::size_t steps = 8;                           ///< behind so many all ask at once, and seldom
         pith::Micros stale = 1500 * pith::kMilli;        ///< an answer that took longer is asked for again
         pith::Micros digest_again = 250 * pith::kMilli;  ///< a digest that told of a change is told once more
         pith::Micros digest_grace = 300 * pith::kMilli;  ///< beyond the period, before a digest is asked for
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -63,8 +63,9 @@
     // What was never confirmed is as old as the time since when it could be.
     const Micros unheard = now - std::max(heard_at_, could_ask_since_);
     if (!tells_others()) return unheard >= tuning_.alone + static_cast<Micros>(place) * tuning_.step_alone;
-    const Micros patience =
-        period() + tuning_.grace + static_cast<Micros>(std::min(place - 1, tuning_.steps)) * tuning_.step;
+    const Micros grace = large_fleet_ ? tuning_.grace_large : tuning_.grace;
+    const Micros step = large_fleet_ ? tuning_.step_large : tuning_.step;
+    const Micros patience = period() + grace + static_cast<Micros>(std::min(place - 1, tuning_.steps)) * step;
     return unheard >= patience;
 }
 
@@ -79,7 +80,7 @@
     }
     if (!around.may_ask) return 0;
     if (could_ask_since_ < 0) could_ask_since_ = now;
-    if (questions_.size() >= tuning_.under_way || now < next_question_ || !due(now)) return 0;
+    if (!questions_.empty() || now < next_question_ || !due(now)) return 0;
     questions_[++asked_] = {now, held()};
     next_question_ = now + period();
     return asked_;
