span: a digest of a lower listing confirms nothing, and its sender is told

A proxy that had just restarted took an epoch that another one held already, under a lower name; its digests said that the platform had just been asked, so the others, who held the other listing, asked no more. Test: a_digest_of_a_lower_listing_confirms_nothing.

--- a/packages/mime/src/soak.cpp
+++ b/packages/mime/src/soak.cpp
@@ -247,7 +247,7 @@
     void restart_keeper(int signal) {
         if (keeper_busy_.exchange(true)) return;
         const auto keepers = fleet_.names("keeper");
-        const std::string keeper = keepers[random_.below(keepers.size())];
+        const std::string& keeper = keepers[random_.below(keepers.size())];
         fleet_.forget_lines(keeper);
         fleet_.kill(keeper, signal);
         enders_.emplace_back([this, keeper] {
--- a/packages/span/include/span/listing_duty.hpp
+++ b/packages/span/include/span/listing_duty.hpp
@@ -95,8 +95,8 @@
     /// False where it is refused as older than what is known.
     bool hear(pith::Micros now, const std::string& from, const weft::Listing& told);
     bool hear(pith::Micros now, const std::string& from, const weft::ListingChange& change);
-    void hear(pith::Micros now, const std::string& from, std::uint64_t life,
-              const weft::ListingDigest& digest);
+    void hear(pith::Micros now, const std::string& from, std::uint64_t life, const weft::ListingDigest& told,
+              weft::Out* out);
     void hear(const std::string& from, const weft::ListingAsk& ask, weft::Out* out) const;
     void hear(pith::Micros now, const std::string& from, const weft::ListingDigestAsk& ask,
               weft::Out* out) const;
@@ -128,7 +128,7 @@
     void taken_from(pith::Micros now, const std::string& from);
     void withdraw(pith::Micros now, const std::string& from, const ListingLabel& label,
                   const std::vector<std::uint64_t>& servers);
-    void answered(pith::Micros now, pith::Micros asked_at, const PlatformQuestion& question);
+    void confirm(pith::Micros asked_at, const PlatformQuestion& question);
     void tell_change(pith::Micros now, const weft::Listing& before, weft::Out* out);
     void tell_digest(pith::Micros now, weft::Out* out) const;
     weft::ListingDigest digest(pith::Micros now) const;
@@ -157,6 +157,7 @@
     // What others hold that is newer, and who said so.
     ListingLabel wanted_;
     pith::Micros wanted_at_ = -pith::kNever;  // when the platform was asked that showed it
+    PlatformQuestion wanted_by_;
     std::string wanted_from_;
     pith::Micros next_seek_ = 0, next_without_ = 0, next_digest_ask_ = 0;
     std::size_t digest_asks_ = 0;
--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -524,7 +524,7 @@
         return;
     }
     if (const auto* digest = std::get_if<weft::ListingDigest>(&e.msg)) {
-        if (fresh) listing_.hear(now, e.from, e.inc, *digest);
+        if (fresh) listing_.hear(now, e.from, e.inc, *digest, &d->out);
         return;
     }
     if (const auto* ask = std::get_if<weft::ListingDigestAsk>(&e.msg)) {
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -174,6 +174,7 @@
                        std::equal(servers.begin(), servers.end(), listing_.servers.begin(), same_server);
     const PlatformQuestion own{members_->name(), members_->inc(), question};
     known_questions_.add(own);
+    heard_at_ = now;
     if (equal || (!tells_others() && known())) {
         // For this node alone, until it hears the others again; servers that were missing are let go in time,
         // also where nothing else changes.
@@ -189,22 +190,14 @@
         next.servers = std::move(servers);
         const weft::Listing before = listing_;
         take(now, members_->name(), next);
-        answered(now, asked.asked_at, own);
+        confirm(asked.asked_at, own);
         tell_change(now, before, out);
         return;
     }
-    answered(now, asked.asked_at, own);
+    confirm(asked.asked_at, own);
     if (tells_others()) tell_digest(now, out);
 }
 
-void ListingDuty::answered(Micros now, Micros asked_at, const PlatformQuestion& question) {
-    confirmed_at_ = std::max(confirmed_at_, asked_at);
-    heard_at_ = now;
-    if (known_at_ >= asked_at) return;
-    known_at_ = asked_at;
-    known_by_ = question;
-}
-
 // What leaves goes first and by itself; the rest of the change follows, to control nodes as a whole listing.
 void ListingDuty::tell_change(Micros now, const weft::Listing& before, weft::Out* out) {
     const auto change = difference(before, listing_);
@@ -228,7 +221,7 @@
 // How old it is, its digest tells; without one it stands unconfirmed.
 void ListingDuty::taken_from(Micros now, const std::string& from) {
     if (held() == wanted_) {
-        confirmed_at_ = std::max(confirmed_at_, wanted_at_);
+        confirm(wanted_at_, wanted_by_);
     } else if (from == listing_.holder) {
         heard_at_ = std::max(heard_at_, now);  // its digest was lost, or is under way
     } else {
@@ -263,31 +256,44 @@
 }
 
 void ListingDuty::hear(Micros now, const std::string& from, std::uint64_t life,
-                       const weft::ListingDigest& told) {
+                       const weft::ListingDigest& told, weft::Out* out) {
     const Micros late = tuning_.late_words_count_as_new ? 0 : delay_.late_by(now, from, life, told.sent_at);
     const Micros asked_at = now - late - static_cast<Micros>(told.asked_ago);
     const ListingLabel label{told.epoch, told.holder, told.version};
+    withdraw(now, from, label, told.withdrawn);
+    if (label < held()) {
+        // What that listing shows is not told here, so how new it is says nothing. Its holder does not know
+        // of ours.
+        const std::string to = members_->address(from);
+        if (tells_others() && !to.empty()) out->push_back({to, digest(now)});
+        return;
+    }
     const PlatformQuestion question{told.asked_by, told.asked_life, told.question};
     const bool news = known_questions_.add(question);
-    if (news || !(label < held())) withdraw(now, from, label, told.withdrawn);
-    if (news && known_at_ < asked_at) {
-        known_at_ = asked_at;
-        known_by_ = question;
-        heard_at_ = std::max(heard_at_, now - late);
-    }
-    if (label < held()) return;
+    if (news) heard_at_ = std::max(heard_at_, now - late);
     if (!(held() < label)) {
-        if (news) confirmed_at_ = std::max(confirmed_at_, asked_at);
+        if (news) confirm(asked_at, question);
         return;
     }
     // It may be on its way, and must not be sent twice for that.
     if (wanted_ < label) next_seek_ = now + tuning_.transfer;
-    if (news || wanted_ < label) wanted_at_ = asked_at;
+    if (news || wanted_ < label) {
+        wanted_at_ = asked_at;
+        wanted_by_ = question;
+    }
     wanted_ = label;
     wanted_from_ = from;
     seek_elsewhere_ = false;
 }
 
+// What is held is what the platform said to that question.
+void ListingDuty::confirm(Micros asked_at, const PlatformQuestion& question) {
+    confirmed_at_ = std::max(confirmed_at_, asked_at);
+    if (known_at_ >= asked_at) return;
+    known_at_ = asked_at;
+    known_by_ = question;
+}
+
 std::vector<std::string> ListingDuty::tellers() const {
     std::vector<std::string> addresses;
     for (const auto* member : members_->live("proxy"))
--- a/packages/span/test/listing_duty.cpp
+++ b/packages/span/test/listing_duty.cpp
@@ -160,7 +160,7 @@
         if (const auto* change = std::get_if<weft::ListingChange>(&envelope.msg))
             node.duty->hear(now_, envelope.from, *change);
         if (const auto* digest = std::get_if<weft::ListingDigest>(&envelope.msg))
-            node.duty->hear(now_, envelope.from, envelope.inc, *digest);
+            node.duty->hear(now_, envelope.from, envelope.inc, *digest, &out);
         if (const auto* digest_ask = std::get_if<weft::ListingDigestAsk>(&envelope.msg))
             node.duty->hear(now_, envelope.from, *digest_ask, &out);
         if (const auto* ask = std::get_if<weft::ListingAsk>(&envelope.msg))
@@ -349,21 +349,22 @@
     const Micros ahead = 500 * kSecond;  // the sender's clock is not ours
     Alone x;
     x.duty.hear(10 * kSecond, "p1", Alone::listing(2, "p1", 1));
-    x.duty.hear(10 * kSecond, "p1", 1, digest(10 * kSecond + ahead));
+    x.duty.hear(10 * kSecond, "p1", 1, digest(10 * kSecond + ahead), &x.out);
     BOOST_TEST(x.duty.age(10 * kSecond) == 40 * kMilli);
-    x.duty.hear(13 * kSecond, "p1", 1, digest(10 * kSecond + 100 * kMilli + ahead));
+    x.duty.hear(13 * kSecond, "p1", 1, digest(10 * kSecond + 100 * kMilli + ahead), &x.out);
     BOOST_TEST(x.duty.age(13 * kSecond) == 2940 * kMilli);
-    x.duty.hear(13 * kSecond, "p1", 1, digest(13 * kSecond + ahead));
+    x.duty.hear(13 * kSecond, "p1", 1, digest(13 * kSecond + ahead), &x.out);
     BOOST_TEST(x.duty.age(13 * kSecond) == 40 * kMilli);
     // A new life of the sender has another clock.
-    x.duty.hear(14 * kSecond, "p1", 2, digest(3 * kSecond));
+    x.duty.hear(14 * kSecond, "p1", 2, digest(3 * kSecond), &x.out);
     BOOST_TEST(x.duty.age(14 * kSecond) == 40 * kMilli);
     Alone credulous;
     ListingDuty::Tuning tuning;
     tuning.late_words_count_as_new = true;
     ListingDuty duty(tuning, &credulous.members, &credulous.pool);
-    duty.hear(10 * kSecond, "p1", 1, digest(10 * kSecond + ahead));
-    duty.hear(13 * kSecond, "p1", 1, digest(10 * kSecond + 100 * kMilli + ahead));
+    duty.hear(10 * kSecond, "p1", Alone::listing(2, "p1", 1));
+    duty.hear(10 * kSecond, "p1", 1, digest(10 * kSecond + ahead), &credulous.out);
+    duty.hear(13 * kSecond, "p1", 1, digest(10 * kSecond + 100 * kMilli + ahead), &credulous.out);
     BOOST_TEST(duty.age(13 * kSecond) == 40 * kMilli);
 }
 
@@ -381,7 +382,7 @@
     digest.version = 3;
     digest.sent_at = 10 * kSecond;
     digest.withdrawn = {server_hash("10.0.0.1:80", "s")};
-    x.duty.hear(10 * kSecond, "p1", 1, digest);
+    x.duty.hear(10 * kSecond, "p1", 1, digest, &x.out);
     BOOST_TEST(!stands(x));
     const auto heard = x.duty.leaving_news();
     BOOST_TEST(heard.instances.size() == 1u);
@@ -431,3 +432,38 @@
         std::equal(made.servers.begin(), made.servers.end(), listings.back().servers.begin(), same_server));
     BOOST_TEST(history.since(label_of(listings[2])).empty());  // too long ago
 }
+
+// A holder that has just started and does not know of a newer listing tells its own: what others hold is not
+// confirmed by that. They ask by themselves, and tell it of theirs.
+BOOST_AUTO_TEST_CASE(a_digest_of_a_lower_listing_confirms_nothing) {
+    Alone x;
+    weft::Heartbeat beat;
+    beat.me.name = beat.me.address = "p2";
+    beat.me.role = "proxy";
+    beat.me.inc = beat.me.version = 1;
+    x.members.hear(10 * kSecond, {"p2", 1, 1, beat}, &x.out);
+    x.duty.hear(10 * kSecond, "p3", Alone::listing(2, "p3", 1));
+    std::size_t asked = 0, answers = 0;
+    for (Micros now = 10 * kSecond; now < 14 * kSecond; now += 100 * kMilli) {
+        x.out.clear();
+        weft::ListingDigest lower;
+        lower.epoch = 2;
+        lower.holder = lower.asked_by = "p2";
+        lower.version = lower.asked_life = 1;
+        lower.question = lower.sent_at = static_cast<std::uint64_t>(now);
+        x.duty.hear(now, "p2", 1, lower, &x.out);
+        for (const auto& message : x.out) {
+            const auto* digest = std::get_if<weft::ListingDigest>(&message.msg);
+            if (digest == nullptr) continue;
+            ++answers;
+            BOOST_TEST(digest->holder == "p3");
+        }
+        const auto question = x.duty.tick(now, {false, true, {}}, &x.out);
+        if (question == 0) continue;
+        ++asked;
+        x.duty.failed(now, question, 0);
+    }
+    BOOST_TEST(asked >= 2u);
+    BOOST_TEST(answers == 40u);
+    BOOST_TEST(x.duty.age(14 * kSecond) > 4 * kSecond);
+}
