span: a listing of many pages is asked for by zone side by side

From three pages on each zone's pages are asked for side by side; the whole at once each 30th question, for zones that are new.

--- a/packages/mime/src/soak.cpp
+++ b/packages/mime/src/soak.cpp
@@ -139,7 +139,7 @@
         listed.server = std::make_shared<SoakServer>(server_io_, ledger_, service->first, instance,
                                                      plan_.seed * 100000 + servers_made_);
         listed.locality = plan_.fleet.localities[servers_made_ % plan_.fleet.localities.size()];
-        auto address = listed.server->open(loopback_address(plan_.fleet.folder + std::to_string(plan_.seed)));
+        auto address = listed.server->open(loopback_address("servers of " + plan_.fleet.folder));
         if (!address) return tl::unexpected<pith::Error>(address.error());
         listed.address = *address;
         servers_.push_back(listed);
--- a/packages/span/include/span/dialect.hpp
+++ b/packages/span/include/span/dialect.hpp
@@ -20,7 +20,8 @@
     bool echoes = false;       // every answer to a request that ran names the try
     bool strict = true;          // strict: heads that leave something out are refused
     bool fractions = false;          // Retry-After may have fractions of a second
-    std::string list_target = "/v1/servers", page_query = "page";
+    std::string list_target = "/v1/servers", page_query = "page",
+                zone_query = "locality";
     std::map<pith::Kind, int> status;  // where it differs from pith::kind_status
 
     int status_of(pith::Kind k) const {
--- /dev/null
+++ b/packages/span/include/span/platform_listing.hpp
@@ -0,0 +1,50 @@
+#pragma once
+/// Asks the platform for its listing of servers: page after page, and where there are many, the pages of all
+/// zones side by side (docs/design.md 7.2). A part of a listing is never taken for the whole. One thread.
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pith/time.hpp"
+#include "span/dialect.hpp"
+#include "weft/messages.hpp"
+
+namespace span {
+
+struct PlatformAnswer {
+    bool whole = false;
+    std::vector<weft::ServerRec> servers;
+    std::string why;               ///< it is not whole
+    pith::Micros retry_after = 0;  ///< as the platform said
+};
+
+class PlatformListing {
+  public:
+    /// `calls` counts each page that is asked for.
+    PlatformListing(boost::asio::io_context& io, std::string address, const Dialect& dialect,
+                    std::atomic<std::uint64_t>* calls);
+    PlatformAnswer ask(boost::asio::yield_context yield);
+
+  private:
+    struct Part {
+        PlatformAnswer answer;
+        std::size_t pages = 0;
+    };
+    Part ask_pages(const std::string& zone, boost::asio::yield_context yield);
+    PlatformAnswer ask_zones(boost::asio::yield_context yield);
+    PlatformAnswer ask_all(boost::asio::yield_context yield);
+
+    boost::asio::io_context& io_;
+    std::string address_;
+    const Dialect& dialect_;
+    std::atomic<std::uint64_t>* calls_;
+    std::set<std::string> zones_;  // of all servers that were ever listed
+    std::size_t pages_ = 0;        // of the last listing that was asked for as one
+    int until_all_ = 0;            // questions until it is asked for as one again, for zones that are new
+};
+
+}  // namespace span
--- /dev/null
+++ b/packages/span/src/platform_listing.cpp
@@ -0,0 +1,102 @@
+#include "span/platform_listing.hpp"
+
+#include <algorithm>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "span/listing.hpp"
+#include "weft/desk.hpp"
+
+namespace span {
+
+namespace asio = boost::asio;
+using pith::Kind;
+using pith::Micros;
+
+namespace {
+constexpr int kMostPages = 1000;
+constexpr Micros kPageIn = 2 * pith::kSecond;
+constexpr std::size_t kManyPages = 3;  // from so many on zones are asked for side by side
+constexpr int kAllEach = 30;           // questions
+constexpr int kMostRetrySeconds = 30;
+}  // namespace
+
+PlatformListing::PlatformListing(asio::io_context& io, std::string address, const Dialect& dialect,
+                                 std::atomic<std::uint64_t>* calls)
+    : io_(io), address_(std::move(address)), dialect_(dialect), calls_(calls) {}
+
+PlatformListing::Part PlatformListing::ask_pages(const std::string& zone, asio::yield_context yield) {
+    Part part;
+    std::string next;
+    for (int i = 0; i < kMostPages; ++i) {
+        ++*calls_;
+        ++part.pages;
+        std::string query;
+        if (!zone.empty()) query = "?" + dialect_.zone_query + "=" + zone;
+        if (!next.empty()) query += (query.empty() ? "?" : "&") + dialect_.page_query + "=" + next;
+        const auto answer = weft::call(
+            io_, address_, {weft::http::verb::get, dialect_.list_target + query, 11}, kPageIn, yield);
+        const bool sound = answer && answer->result_int() == 200 &&
+                           read_listing(answer->body(), &part.answer.servers, &next);
+        if (!sound) {
+            part.answer.why =
+                answer ? "status " + std::to_string(answer->result_int()) : answer.error().message;
+            if (answer && answer->find(weft::http::field::retry_after) != answer->end())
+                part.answer.retry_after =
+                    std::min(kMostRetrySeconds,
+                             std::atoi(std::string((*answer)[weft::http::field::retry_after]).c_str())) *
+                    pith::kSecond;
+            return part;
+        }
+        if (!next.empty()) continue;
+        part.answer.whole = true;
+        return part;
+    }
+    part.answer.why = "more than " + std::to_string(kMostPages) + " pages";
+    return part;
+}
+
+PlatformAnswer PlatformListing::ask_all(asio::yield_context yield) {
+    auto part = ask_pages({}, yield);
+    if (!part.answer.whole) return std::move(part.answer);
+    until_all_ = kAllEach;
+    pages_ = part.pages;
+    for (const auto& server : part.answer.servers) zones_.insert(server.locality);
+    return std::move(part.answer);
+}
+
+PlatformAnswer PlatformListing::ask_zones(asio::yield_context yield) {
+    struct Together {
+        explicit Together(asio::io_context& io) : done(io, asio::steady_timer::time_point::max()) {}
+        asio::steady_timer done;
+        std::vector<Part> parts;
+    };
+    const auto together = std::make_shared<Together>(io_);
+    for (const auto& zone : zones_)
+        asio::spawn(
+            io_,
+            [this, zone, together](asio::yield_context inner) {
+                together->parts.push_back(ask_pages(zone, inner));
+                together->done.cancel();
+            },
+            asio::detached);
+    boost::system::error_code ec;
+    while (together->parts.size() < zones_.size()) together->done.async_wait(yield[ec]);
+    PlatformAnswer answer;
+    for (auto& part : together->parts) {
+        if (!part.answer.whole) return std::move(part.answer);
+        auto& servers = part.answer.servers;
+        answer.servers.insert(answer.servers.end(), servers.begin(), servers.end());
+    }
+    answer.whole = true;
+    return answer;
+}
+
+PlatformAnswer PlatformListing::ask(asio::yield_context yield) {
+    const bool nameless = zones_.count("") != 0;
+    if (pages_ < kManyPages || zones_.size() < 2 || nameless || --until_all_ <= 0) return ask_all(yield);
+    return ask_zones(yield);
+}
+
+}  // namespace span
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -11,7 +11,7 @@
 #include "span/core.hpp"
 #include "span/farewell.hpp"
 #include "span/front.hpp"
-#include "span/listing.hpp"
+#include "span/platform_listing.hpp"
 
 namespace span {
 
@@ -52,6 +52,7 @@
         ctl_ = kernel_.find<Control>("control");
         tick_ = std::make_unique<asio::steady_timer>(ctl_->io);
         pulse_ = std::make_unique<asio::steady_timer>(ctl_->io);
+        listing_ = std::make_unique<PlatformListing>(ctl_->io, set_.platform, hall_.dialect, &hall_.tolls.listings);
         core_ = std::make_unique<ProxyCore>(
             knell_config(set_, "proxy", static_cast<std::uint64_t>(pith::wall_now())), CoreTuning{}, &hall_.basin, &hall_.pool);
         for (int i = 0; i < set_.threads; ++i) workers_.push_back(std::make_unique<Worker>(hall_));
@@ -194,39 +195,19 @@
         if (!d.probe.empty()) probe(std::move(d.probe));
     }
 
-    // Page after page; a part of a listing is never taken for the whole.
     void list(std::uint64_t question, asio::yield_context y) {
-        constexpr int kMostPages = 1000;
-        std::vector<weft::ServerRec> v;
-        std::string next;
-        pith::Result<weft::Answer> a = pith::fail(Kind::unreachable, "not asked");
-        bool whole = false;
-        for (int i = 0; i < kMostPages && !whole; ++i) {
-            ++hall_.tolls.listings;
-            const std::string page = next.empty() ? "" : "?" + hall_.dialect.page_query + "=" + next;
-            weft::Ask q{weft::http::verb::get, hall_.dialect.list_target + page, 11};
-            a = weft::call(ctl_->io, set_.platform, std::move(q), 2 * pith::kSecond, y);
-            if (!a || a->result_int() != 200 || !read_listing(a->body(), &v, &next)) break;
-            whole = next.empty();
-        }
+        auto answer = listing_->ask(y);
         const Micros now = pith::mono_now();
-        if (whole) {
+        if (answer.whole) {
             Todo d;
-            core_->listed(now, question, std::move(v), &d);
+            core_->listed(now, question, std::move(answer.servers), &d);
             carry_out(d);
             return;
         }
-        Micros after = 0;
-        if (a && a->find(weft::http::field::retry_after) != a->end())
-            after =
-                std::min<Micros>(30, std::atoi(std::string((*a)[weft::http::field::retry_after]).c_str())) *
-                pith::kSecond;
-        core_->list_failed(now, question, after);
+        core_->list_failed(now, question, answer.retry_after);
         std::uint64_t held = 0;
         if (list_seldom_.pass(now, &held))
-            log_event(Level::warn, "listing_failed",
-                      {{"why", a ? "status " + std::to_string(a->result_int()) : a.error().message},
-                       {"held", held}});
+            log_event(Level::warn, "listing_failed", {{"why", answer.why}, {"held", held}});
     }
 
     // On the first worker, so that proven sessions serve visits after.
@@ -300,6 +281,7 @@
     Hall hall_;
     std::shared_ptr<Control> ctl_;
     std::unique_ptr<ProxyCore> core_;
+    std::unique_ptr<PlatformListing> listing_;
     std::vector<std::unique_ptr<Worker>> workers_;
     std::unique_ptr<Front> front_;
     std::unique_ptr<weft::Desk> ready_desk_;
