--- a/packages/mime/include/mime/fleet.hpp
+++ b/packages/mime/include/mime/fleet.hpp
@@ -25,6 +25,7 @@
     std::map<std::string, int> servers{{"bids", 2}, {"notices", 2}, {"status", 2}};
     int work_ms = 5;
     std::string log_level = "info";
+    bool large = false;  // plain links, and a tolerance of the allowances, with which large fleets aggregate their counts
     bool echo = false;  // logs to our stderr too
 };
 
--- a/packages/mime/src/fleet.cpp
+++ b/packages/mime/src/fleet.cpp
@@ -143,6 +143,10 @@
     o["keepers"] = keepers;
     o["secret_file"] = p_.folder + "/secret";
     o["log_level"] = p_.log_level;
+    if (p_.large) {
+        o["frames"] = "plain";
+        o["bounds"] = json::object{{"quota_slack", 20}, {"retry_slack", 200}};
+    }
     return json::serialize(o) + "\n";
 }
 
--- a/packages/mime/src/main.cpp
+++ b/packages/mime/src/main.cpp
@@ -36,6 +36,7 @@
 DEFINE_int32(server_count, 9, "soak: servers, in this process");
 DEFINE_int32(caller_count, 24, "soak: callers, in this process");
 DEFINE_double(pause_s, 0.8, "soak: mean time between two troubles");
+DEFINE_bool(large, false, "soak: plain links and a tolerance of the allowances, for fleets of over 24 proxies");
 DEFINE_bool(echo, false, "fleet: logs to the terminal too");
 
 namespace {
@@ -44,7 +45,7 @@
                                          "key",         "method",       "path",     "rate",    "seconds",
                                          "seed",        "deadline_ms",  "retry",    "program", "folder",
                                          "proxy_count", "servers_each", "echo",     "seeds",   "keeper_count",
-                                         "server_count", "caller_count", "pause_s"};
+                                         "server_count", "caller_count", "pause_s", "large"};
 
 int listening(const pith::Result<std::string>& a, boost::asio::io_context& io) {
     if (!a) {
@@ -114,6 +115,7 @@
         plan.fleet.folder = FLAGS_folder + "-" + std::to_string(seed);
         plan.fleet.keepers = FLAGS_keeper_count;
         plan.fleet.proxies = FLAGS_proxy_count;
+        plan.fleet.large = FLAGS_large;
         plan.servers = FLAGS_server_count;
         plan.callers = FLAGS_caller_count;
         plan.seconds = FLAGS_seconds;
