--- a/packages/span/include/span/platform_listing.hpp
+++ b/packages/span/include/span/platform_listing.hpp
@@ -18,8 +18,10 @@
 struct PlatformAnswer {
     bool whole = false;
     std::vector<weft::ServerRec> servers;
-    std::string why;               ///< it is not whole
-    pith::Micros retry_after = 0;  ///< as the platform said
+    std::string why;                ///< it is not whole
+    pith::Micros retry_after = 0;   ///< as the platform said
+    std::size_t pages = 0;          ///< that were asked for
+    pith::Micros slowest_page = 0;  ///< the time that one page took at the most
 };
 
 class PlatformListing {
@@ -30,11 +32,7 @@
     PlatformAnswer ask(boost::asio::yield_context yield);
 
   private:
-    struct Part {
-        PlatformAnswer answer;
-        std::size_t pages = 0;
-    };
-    Part ask_pages(const std::string& zone, boost::asio::yield_context yield);
+    PlatformAnswer ask_pages(const std::string& zone, boost::asio::yield_context yield);
     PlatformAnswer ask_zones(boost::asio::yield_context yield);
     PlatformAnswer ask_all(boost::asio::yield_context yield);
 
--- a/packages/span/src/platform_listing.cpp
+++ b/packages/span/src/platform_listing.cpp
@@ -26,8 +26,8 @@
                                  std::atomic<std::uint64_t>* calls)
     : io_(io), address_(std::move(address)), dialect_(dialect), calls_(calls) {}
 
-PlatformListing::Part PlatformListing::ask_pages(const std::string& zone, asio::yield_context yield) {
-    Part part;
+PlatformAnswer PlatformListing::ask_pages(const std::string& zone, asio::yield_context yield) {
+    PlatformAnswer part;
     std::string next;
     for (int i = 0; i < kMostPages; ++i) {
         ++*calls_;
@@ -35,42 +35,43 @@
         std::string query;
         if (!zone.empty()) query = "?" + dialect_.zone_query + "=" + zone;
         if (!next.empty()) query += (query.empty() ? "?" : "&") + dialect_.page_query + "=" + next;
+        const Micros begun = pith::mono_now();
         const auto answer = weft::call(
             io_, address_, {weft::http::verb::get, dialect_.list_target + query, 11}, kPageIn, yield);
-        const bool sound = answer && answer->result_int() == 200 &&
-                           read_listing(answer->body(), &part.answer.servers, &next);
+        part.slowest_page = std::max(part.slowest_page, pith::mono_now() - begun);
+        const bool sound =
+            answer && answer->result_int() == 200 && read_listing(answer->body(), &part.servers, &next);
         if (!sound) {
-            part.answer.why =
-                answer ? "status " + std::to_string(answer->result_int()) : answer.error().message;
+            part.why = answer ? "status " + std::to_string(answer->result_int()) : answer.error().message;
             if (answer && answer->find(weft::http::field::retry_after) != answer->end())
-                part.answer.retry_after =
+                part.retry_after =
                     std::min(kMostRetrySeconds,
                              std::atoi(std::string((*answer)[weft::http::field::retry_after]).c_str())) *
                     pith::kSecond;
             return part;
         }
         if (!next.empty()) continue;
-        part.answer.whole = true;
+        part.whole = true;
         return part;
     }
-    part.answer.why = "more than " + std::to_string(kMostPages) + " pages";
+    part.why = "more than " + std::to_string(kMostPages) + " pages";
     return part;
 }
 
 PlatformAnswer PlatformListing::ask_all(asio::yield_context yield) {
-    auto part = ask_pages({}, yield);
-    if (!part.answer.whole) return std::move(part.answer);
+    auto answer = ask_pages({}, yield);
+    if (!answer.whole) return answer;
     until_all_ = kAllEach;
-    pages_ = part.pages;
-    for (const auto& server : part.answer.servers) zones_.insert(server.locality);
-    return std::move(part.answer);
+    pages_ = answer.pages;
+    for (const auto& server : answer.servers) zones_.insert(server.locality);
+    return answer;
 }
 
 PlatformAnswer PlatformListing::ask_zones(asio::yield_context yield) {
     struct Together {
         explicit Together(asio::io_context& io) : done(io, asio::steady_timer::time_point::max()) {}
         asio::steady_timer done;
-        std::vector<Part> parts;
+        std::vector<PlatformAnswer> parts;
     };
     const auto together = std::make_shared<Together>(io_);
     for (const auto& zone : zones_)
@@ -85,9 +86,10 @@
     while (together->parts.size() < zones_.size()) together->done.async_wait(yield[ec]);
     PlatformAnswer answer;
     for (auto& part : together->parts) {
-        if (!part.answer.whole) return std::move(part.answer);
-        auto& servers = part.answer.servers;
-        answer.servers.insert(answer.servers.end(), servers.begin(), servers.end());
+        if (!part.whole) return std::move(part);
+        answer.servers.insert(answer.servers.end(), part.servers.begin(), part.servers.end());
+        answer.pages += part.pages;
+        answer.slowest_page = std::max(answer.slowest_page, part.slowest_page);
     }
     answer.whole = true;
     return answer;
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -24,6 +24,7 @@
 
 namespace {
 
+constexpr Micros kSlowQuestion = 500 * pith::kMilli;  // to the platform, for operators' logs
 constexpr Micros kPulse = 3 * pith::kMilli;  // how often queues are looked at, while anything waits
 
 // Where the operators' bound gives an allowance an error in requests, it is used (docs/design.md 6.5).
@@ -128,6 +129,7 @@
     void tick() {
         Todo d;
         const Micros now = pith::mono_now();
+        tick_late_ = std::max<Micros>(0, now - next_tick_);
         ctl_->link.inc(core_->knell().inc());
         ctl_->watch_traffic(now);
         core_->tick(now, &d);
@@ -196,8 +198,10 @@
     }
 
     void list(std::uint64_t question, asio::yield_context y) {
+        const Micros begun = pith::mono_now();
         auto answer = listing_->ask(y);
         const Micros now = pith::mono_now();
+        log_slow_question(answer, now - begun);
         if (answer.whole) {
             Todo d;
             core_->listed(now, question, std::move(answer.servers), &d);
@@ -210,6 +214,18 @@
             log_event(Level::warn, "listing_failed", {{"why", answer.why}, {"held", held}});
     }
 
+    // A slow question, and whether this node is to blame: then its own timers are late too.
+    void log_slow_question(const PlatformAnswer& answer, Micros took) {
+        question_took_ = took;
+        if (took < kSlowQuestion) return;
+        log_event(Level::warn, "listing_slow",
+                  {{"took_ms", took / pith::kMilli},
+                   {"pages", answer.pages},
+                   {"slowest_page_ms", answer.slowest_page / pith::kMilli},
+                   {"tick_late_ms", tick_late_ / pith::kMilli},
+                   {"known_before_ms", listing_age_ms()}});
+    }
+
     // On the first worker, so that proven sessions serve visits after.
     void probe(std::vector<weft::ServerRec> v) {
         if (probing_.exchange(true)) return;
@@ -290,7 +306,8 @@
     std::atomic<bool> armed_{true}, probing_{false};
     std::size_t turn_ = 0;
     bool draining_ = false, held_ = false;  // held: operators want no new callers here
-    Micros next_sweep_ = 0, next_tick_ = 0;
+    Micros next_sweep_ = 0, next_tick_ = pith::kNever;
+    Micros tick_late_ = 0, question_took_ = 0;  // the last ones
     tide::Standing standing_ = tide::Standing::floor;
     std::string counts_way_ = "direct";
     pith::Seldom list_seldom_{10 * pith::kSecond};
@@ -359,6 +376,10 @@
           static_cast<double>(core_->relayed_words()));
     m.add("listing_age_seconds", "gauge", "since the platform was last known to say what is held of its servers", "",
           static_cast<double>(listing_age_ms()) / 1000);
+    m.add("listing_question_seconds", "gauge", "the time that the last question to the platform took here", "",
+          static_cast<double>(question_took_) / 1e6);
+    m.add("control_tick_late_seconds", "gauge", "how late the control thread's last tick was", "",
+          static_cast<double>(tick_late_) / 1e6);
     const auto v = hall_.basin.view();
     auto lab = [](const std::string& c) { return "customer=\"" + c + "\""; };
     for (const auto& w : core_->worst())
