--- a/packages/loom/include/loom/scenario.hpp
+++ b/packages/loom/include/loom/scenario.hpp
@@ -25,6 +25,6 @@
 std::vector<std::string> scenarios();
 Result run(const std::string& scenario, const std::string& deployment, std::uint64_t seed,
            const tide::Tuning& t = tide::Tuning{}, const span::CoreTuning& ct = span::CoreTuning{},
-           const Breaks& b = Breaks{});
+           const Breaks& b = Breaks{}, Micros question_takes = 0);
 
 }  // namespace loom
--- a/packages/loom/include/loom/world.hpp
+++ b/packages/loom/include/loom/world.hpp
@@ -43,6 +43,7 @@
     double small_service = 0;     // traffic of the last service, where it is not an equal part
     std::set<std::string> older;  // nodes of a version whose Counts had neither `silent` nor `well`
     bool shared_hosts = false;        // the first proxies stand on the control nodes' machines
+    Micros question_takes = 0;  // the platform reads its listing as a question comes, and answers so much later
     bool servers_say_leaving = true;  // in probes and answers; else only the platform's listing shows it
     double over = 0;              // the operators' tolerance: tide::Tuning
     // Links of machines without a control node, and of those with one, bytes a second; 0: no limit.
@@ -225,6 +226,8 @@
     // How long a visit's bytes take over the link of a node's machine, waiting included.
     Micros bytes_out(const std::string& node, std::size_t bytes);
     Micros bytes_in(const std::string& node, std::size_t bytes);
+    void read_listing(const std::string& name, std::uint64_t life, std::uint64_t question);
+    void hear_listing(Node& node, std::uint64_t question, const std::vector<weft::ServerRec>& shown);
     void carry(Node& n, span::Todo& d);
     void carry(Node& n, consensus::Actions& actions);
     void tick(const std::string& name, std::uint64_t life);
--- a/packages/loom/src/scenario.cpp
+++ b/packages/loom/src/scenario.cpp
@@ -542,12 +542,13 @@
 }
 
 Result run(const std::string& scenario, const std::string& deployment, std::uint64_t seed,
-           const tide::Tuning& t, const span::CoreTuning& ct, const Breaks& b) {
+           const tide::Tuning& t, const span::CoreTuning& ct, const Breaks& b, Micros question_takes) {
     Deployment d = deployment == "foundation" ? foundation()
                    : deployment == "wide"     ? wide(15)
                    : deployment == "wide84"   ? wide(84)
                    : deployment == "narrow84" ? narrow(84)
                                               : firm();
+    d.question_takes = question_takes;
     tide::Tuning tt = t;
     if (d.over > 0) tt.over = t.over < 0 ? 0 : d.over;
     pith::Rng r(seed * 31 + 7);
--- a/packages/loom/src/world_proxies.cpp
+++ b/packages/loom/src/world_proxies.cpp
@@ -5,6 +5,38 @@
 
 using pith::kSecond;
 
+// The platform has a question: what it shows now is what it answers, as late as that may be.
+void World::read_listing(const std::string& name, std::uint64_t life, std::uint64_t question) {
+    std::vector<weft::ServerRec> shown;
+    for (const auto& listing : listings_)
+        if (listing.first + list_lag_ <= now_) shown = listing.second;
+    if (list_how_ == "empty") shown.clear();
+    if (list_how_ == "twice" && shown.size() > 1) {
+        shown.push_back(shown[0]);
+        shown.back().service = shown[1].service;
+    }
+    const bool fails = list_fails_;
+    later(trip() + d_.question_takes, [this, name, life, question, shown = std::move(shown), fails] {
+        on_node(name, life, [this, question, shown, fails](Node& node) {
+            if (fails) {
+                node.core->list_failed(now_, question, 0);
+                return;
+            }
+            hear_listing(node, question, shown);
+        });
+    });
+}
+
+void World::hear_listing(Node& node, std::uint64_t question, const std::vector<weft::ServerRec>& shown) {
+    for (const auto& record : shown)
+        for (const auto& server : s_)
+            if (record.state == span::kLeaving && server->instance == record.instance && server->known_at == 0)
+                server->known_at = now_;
+    span::Todo todo;
+    node.core->listed(now_, question, shown, &todo);
+    carry(node, todo);
+}
+
 void World::carry(Node& n, span::Todo& d) {
     send(n, d.out);
     left(n, d.left);
@@ -17,29 +49,7 @@
     const auto life = n.life;
     if (d.list != 0) {
         ++listings;
-        later(2 * trip(), [this, name, life, question = d.list] {
-            on_node(name, life, [this, question](Node& m) {
-                if (list_fails_) {
-                    m.core->list_failed(now_, question, 0);
-                    return;
-                }
-                std::vector<weft::ServerRec> v;
-                for (const auto& l : listings_)
-                    if (l.first + list_lag_ <= now_) v = l.second;
-                if (list_how_ == "empty") v.clear();
-                if (list_how_ == "twice" && v.size() > 1) {
-                    v.push_back(v[0]);
-                    v.back().service = v[1].service;
-                }
-                for (const auto& l : v)
-                    for (const auto& s : s_)
-                        if (l.state == span::kLeaving && s->instance == l.instance && s->known_at == 0)
-                            s->known_at = now_;
-                span::Todo e;
-                m.core->listed(now_, question, v, &e);
-                carry(m, e);
-            });
-        });
+        later(trip(), [this, name, life, question = d.list] { read_listing(name, life, question); });
     }
     if (!d.probe.empty()) {
         auto probe = d.probe;
--- a/packages/span/include/span/core.hpp
+++ b/packages/span/include/span/core.hpp
@@ -109,6 +109,7 @@
     std::uint64_t relayed_words() const { return relayed_; }  // counts that were heard through others
     // What is sensed of the others: of each by itself, or of all together as aggregators tell it.
     const tide::Tally& tally() const { return told_sums() ? sums_tally_ : tally_; }
+    std::uint64_t tally_entries_read() const { return tally_.entries_read() + sums_tally_.entries_read(); }
     const std::map<std::string, tide::Worst>& worst() const { return worst_; }
     std::uint64_t refused_words() const { return refused_; }
 
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -374,6 +374,8 @@
     m.add("frames_dropped_total", "counter", "frames that did not check", "", static_cast<double>(l.dropped));
     m.add("relayed_counts_total", "counter", "counts of peers heard through others", "",
           static_cast<double>(core_->relayed_words()));
+    m.add("partner_entries_read_total", "counter", "counts of single partners that were read for sums", "",
+          static_cast<double>(core_->tally_entries_read()));
     m.add("listing_age_seconds", "gauge", "since the platform was last known to say what is held of its servers", "",
           static_cast<double>(listing_age_ms()) / 1000);
     m.add("listing_question_seconds", "gauge", "the time that the last question to the platform took here", "",
--- a/packages/tide/include/tide/tally.hpp
+++ b/packages/tide/include/tide/tally.hpp
@@ -57,6 +57,8 @@
         return i != p_.end() && i->second.inc >= inc;
     }
     std::size_t partners() const { return p_.size(); }
+    // Partners' entries that were read so far to answer the questions above: what they cost.
+    std::uint64_t entries_read() const { return entries_read_; }
 
   private:
     struct One {
@@ -78,6 +80,7 @@
     void unfold(const weft::Counts& c, const Partner& p, std::vector<weft::CountRec>* v) const;
 
     Times t_;
+    mutable std::uint64_t entries_read_ = 0;
     std::unordered_map<std::uint32_t, std::string> names_;
     std::map<std::string, Partner> p_;
     std::map<std::string, double> told_;
--- a/packages/tide/src/tally.cpp
+++ b/packages/tide/src/tally.cpp
@@ -142,6 +142,7 @@
 
 double Tally::sum(const std::string& customer, double One::*what) const {
     double r = 0;
+    entries_read_ += p_.size();
     for (const auto& p : p_) {
         auto i = p.second.by.find(customer);
         if (i != p.second.by.end()) r += i->second.*what;
@@ -157,6 +158,7 @@
 double Tally::queued(const std::string& customer) const { return sum(customer, &One::queued); }
 double Tally::passed(const std::string& customer) const { return sum(customer, &One::passed); }
 Tally::Share Tally::of(const std::string& from, const std::string& customer) const {
+    ++entries_read_;
     const auto partner = p_.find(from);
     if (partner == p_.end()) return {};
     const auto one = partner->second.by.find(customer);
