mime: the soak's judge is seen to fail on DRAIN and GONE

The ledger takes moments, so both bounds are tried on the microsecond; who is not in touch is not judged.

--- a/packages/mime/include/mime/soak_ledger.hpp
+++ b/packages/mime/include/mime/soak_ledger.hpp
@@ -58,17 +58,20 @@
 
 class SoakLedger {
   public:
-    void sent(const std::string& try_id, const std::string& proxy, bool write);
+    void sent(const std::string& try_id, const std::string& proxy, bool write,
+              pith::Micros at = pith::mono_now());
     void ended(const std::string& try_id, CallerEnd end, int status = 0, const std::string& answers_try = {},
                bool says_not_run = false);
-    void left(const std::string& try_id, const std::string& way);
+    void left(const std::string& try_id, const std::string& way, pith::Micros at = pith::mono_now());
     /// Gives the number of the arrival, for worked().
-    std::size_t arrived(const std::string& try_id, const std::string& instance, pith::Micros would_last);
-    void worked(const std::string& try_id, std::size_t arrival, WorkEnd end);
+    std::size_t arrived(const std::string& try_id, const std::string& instance, pith::Micros would_last,
+                        pith::Micros at = pith::mono_now());
+    void worked(const std::string& try_id, std::size_t arrival, WorkEnd end,
+                pith::Micros at = pith::mono_now());
 
-    void shown_leaving(const std::string& instance);
+    void shown_leaving(const std::string& instance, pith::Micros at = pith::mono_now());
     /// An unplanned trouble began or ended there; a planned stop is none.
-    void troubled(const std::string& proxy);
+    void troubled(const std::string& proxy, pith::Micros at = pith::mono_now());
     /// The machine itself stood still for a while, which says nothing of the gateway.
     void stalled();
 
--- a/packages/mime/src/soak_ledger.cpp
+++ b/packages/mime/src/soak_ledger.cpp
@@ -41,12 +41,12 @@
     return "";
 }
 
-void SoakLedger::sent(const std::string& try_id, const std::string& proxy, bool write) {
+void SoakLedger::sent(const std::string& try_id, const std::string& proxy, bool write, Micros at) {
     Lock lock(mutex_);
     auto& request = requests_[try_id];
     request.proxy = proxy;
     request.write = write;
-    request.sent_at = pith::mono_now();
+    request.sent_at = at;
 }
 
 void SoakLedger::ended(const std::string& try_id, CallerEnd end, int status, const std::string& answers_try,
@@ -60,34 +60,37 @@
     request.says_not_run = says_not_run;
 }
 
-void SoakLedger::left(const std::string& try_id, const std::string& way) {
+void SoakLedger::left(const std::string& try_id, const std::string& way, Micros at) {
     ended(try_id, CallerEnd::left);
     Lock lock(mutex_);
-    requests_[try_id].left_by = way;
+    auto& request = requests_[try_id];
+    request.left_by = way;
+    request.ended_at = at;
 }
 
-std::size_t SoakLedger::arrived(const std::string& try_id, const std::string& instance, Micros would_last) {
+std::size_t SoakLedger::arrived(const std::string& try_id, const std::string& instance, Micros would_last,
+                                Micros at) {
     Lock lock(mutex_);
     auto& arrivals = requests_[try_id].arrivals;
-    arrivals.push_back({instance, pith::mono_now(), 0, would_last, WorkEnd::open});
+    arrivals.push_back({instance, at, 0, would_last, WorkEnd::open});
     return arrivals.size() - 1;
 }
 
-void SoakLedger::worked(const std::string& try_id, std::size_t arrival, WorkEnd end) {
+void SoakLedger::worked(const std::string& try_id, std::size_t arrival, WorkEnd end, Micros at) {
     Lock lock(mutex_);
     auto& work = requests_[try_id].arrivals[arrival];
-    work.until = pith::mono_now();
+    work.until = at;
     work.end = end;
 }
 
-void SoakLedger::shown_leaving(const std::string& instance) {
+void SoakLedger::shown_leaving(const std::string& instance, Micros at) {
     Lock lock(mutex_);
-    shown_leaving_.emplace(instance, pith::mono_now());
+    shown_leaving_.emplace(instance, at);
 }
 
-void SoakLedger::troubled(const std::string& proxy) {
+void SoakLedger::troubled(const std::string& proxy, Micros at) {
     Lock lock(mutex_);
-    troubled_[proxy].push_back(pith::mono_now());
+    troubled_[proxy].push_back(at);
 }
 
 void SoakLedger::stalled() {
--- a/packages/mime/test/soak.cpp
+++ b/packages/mime/test/soak.cpp
@@ -34,6 +34,46 @@
     bool breaks(SoakRule rule) { return judge().broken.count(rule) != 0; }
 };
 
+// Moments are given, so that no test waits for a bound to pass.
+void judges_leaving_servers() {
+    constexpr pith::Micros kShown = 100 * pith::kSecond, kBound = 2 * pith::kSecond;
+    for (const pith::Micros after : {kBound, kBound + 1}) {
+        Account account;
+        account.ledger.shown_leaving("i1", kShown);
+        account.ledger.sent("a", "p1", false, kShown);
+        account.ledger.arrived("a", "i1", kMilli, kShown + after);
+        BOOST_TEST(account.breaks(SoakRule::drain) == (after > kBound));
+        BOOST_TEST(account.judge().latest_to_leaving == after);
+        account.ledger.troubled("p1", kShown + pith::kSecond);  // not in touch
+        BOOST_TEST(!account.breaks(SoakRule::drain));
+        BOOST_TEST(account.judge().not_judged == 1u);
+    }
+}
+
+// Four reads whose callers leave at once. `sent_late`: how long after that they reach a server; `works_for`:
+// how long it then works on.
+bool gone_is_broken(pith::Micros sent_late, pith::Micros works_for, bool in_touch = true) {
+    constexpr pith::Micros kLeft = 100 * pith::kSecond;
+    Account account;
+    for (const char* name : {"a", "b", "c", "d"}) {
+        account.ledger.sent(name, "p1", false, kLeft);
+        account.ledger.left(name, "reset", kLeft);
+        const auto arrival = account.ledger.arrived(name, "i1", pith::kSecond, kLeft + sent_late);
+        account.ledger.worked(name, arrival, WorkEnd::broken_off, kLeft + sent_late + works_for);
+    }
+    if (!in_touch) account.ledger.troubled("p1", kLeft);
+    return account.breaks(SoakRule::gone);
+}
+
+void judges_leaving_callers() {
+    constexpr pith::Micros kBound = 500 * kMilli;
+    BOOST_TEST(!gone_is_broken(0, kBound));
+    BOOST_TEST(gone_is_broken(0, kBound + 1));
+    BOOST_TEST(!gone_is_broken(kBound, 0));
+    BOOST_TEST(gone_is_broken(kBound + 1, 0));
+    BOOST_TEST(!gone_is_broken(kBound + 1, 0, false));
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(each_rule_is_seen_to_be_broken) {
@@ -61,6 +101,9 @@
     lost.ledger.ended("a", CallerEnd::cut);
     BOOST_TEST(lost.breaks(SoakRule::lost));
 
+    judges_leaving_servers();
+    judges_leaving_callers();
+
     Account killed;  // a node that was killed promises nothing
     killed.ledger.troubled("p1");
     killed.ledger.sent("a", "p1", false);
