--- a/packages/span/include/span/listing_duty.hpp
+++ b/packages/span/include/span/listing_duty.hpp
@@ -131,7 +131,8 @@
     void ask_for_digest(pith::Micros now, weft::Out* out);
     /// `asked_at`: when the question began that showed it; -kNever where that is not known.
     void take(pith::Micros now, const std::string& from, const weft::Listing& listing, pith::Micros asked_at);
-    void keep_withdrawn(pith::Micros now, pith::Micros asked_at);
+    bool let_return(pith::Micros asked_at);
+    void fill_pool(pith::Micros now);
     void mark_withdrawn(pith::Micros asked_at, std::vector<weft::ServerRec>* servers) const;
     void taken_from(pith::Micros now, const std::string& from);
     void withdraw(pith::Micros now, const std::string& from, const ListingLabel& label,
--- a/packages/span/include/span/withdrawals.hpp
+++ b/packages/span/include/span/withdrawals.hpp
@@ -17,9 +17,10 @@
     void note(pith::Micros now, std::uint64_t server, const ListingLabel& label);
     /// The listing of this label shows it as serving, as the platform answered a question that began at
     /// `asked_at`. That counts where the question began after the withdrawal was heard of: then a listing
-    /// before was cut short.
-    void returned(std::uint64_t server, const ListingLabel& label, pith::Micros asked_at);
+    /// before was cut short. True where it had been noted and is no more.
+    bool returned(std::uint64_t server, const ListingLabel& label, pith::Micros asked_at);
     bool noted_after(pith::Micros moment, std::uint64_t server) const;
+    bool empty() const { return servers_.empty(); }
     void forget_old(pith::Micros now);
     /// Those to be told: noted here within kTold.
     std::vector<std::uint64_t> recent(pith::Micros now) const;
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -152,14 +152,23 @@
     auto& freight = members_->freight();
     freight.list_epoch = listing.epoch;
     freight.list_version = listing.version;
-    keep_withdrawn(now, asked_at);
+    let_return(asked_at);
+    fill_pool(now);
 }
 
-// The pool holds what the listing shows, but for servers that were heard to leave after that question began.
-void ListingDuty::keep_withdrawn(Micros now, Micros asked_at) {
+// True where a server is back that was held to leave.
+bool ListingDuty::let_return(Micros asked_at) {
+    if (withdrawals_.empty()) return false;
+    bool any = false;
     for (const auto& server : listing_.servers)
-        if (server.state == kServing)
-            withdrawals_.returned(server_hash(server.address, server.instance), held(), asked_at);
+        if (server.state == kServing &&
+            withdrawals_.returned(server_hash(server.address, server.instance), held(), asked_at))
+            any = true;
+    return any;
+}
+
+// The pool holds what the listing shows, but for servers that were heard to leave.
+void ListingDuty::fill_pool(Micros now) {
     pool_->listing(now, listing_);
     pool_->withdraw(now, withdrawals_.all());
 }
@@ -212,7 +221,8 @@
         // For this node alone, until it hears the others again; servers that were missing are let go in time,
         // also where nothing else changes.
         if (!equal) listing_.servers = std::move(servers);
-        keep_withdrawn(now, asked.asked_at);
+        let_return(asked.asked_at);
+        fill_pool(now);
     } else {
         weft::Listing next;
         next.epoch = members_->take(kDuty);
@@ -307,7 +317,7 @@
         begun_at_ = std::max(begun_at_, asked_at);
     }
     if (!(held() < label)) {
-        if (news && confirm(asked_at, question)) keep_withdrawn(now, asked_at);
+        if (news && confirm(asked_at, question) && let_return(asked_at)) fill_pool(now);
         return;
     }
     // It may be on its way, and must not be sent twice for that.
--- a/packages/span/src/withdrawals.cpp
+++ b/packages/span/src/withdrawals.cpp
@@ -7,10 +7,11 @@
     if (!added.second && added.first->second.label < label) added.first->second.label = label;
 }
 
-void Withdrawals::returned(std::uint64_t server, const ListingLabel& label, pith::Micros asked_at) {
+bool Withdrawals::returned(std::uint64_t server, const ListingLabel& label, pith::Micros asked_at) {
     const auto found = servers_.find(server);
-    if (found == servers_.end() || label < found->second.label || asked_at < found->second.at) return;
+    if (found == servers_.end() || label < found->second.label || asked_at < found->second.at) return false;
     servers_.erase(found);
+    return true;
 }
 
 bool Withdrawals::noted_after(pith::Micros moment, std::uint64_t server) const {
