--- a/packages/span/test/caller_leaves.cpp
+++ b/packages/span/test/caller_leaves.cpp
@@ -258,6 +258,24 @@
     BOOST_TEST(bed.gateway->hall.tolls.own_retries == 0u);
 }
 
+// As users recorded it: a server that had queued the read runs it to the deadline, and its 504 was followed
+// by a second send 0.75 s after the caller had left (docs/incidents/listing-asked-by-the-busiest.md).
+BOOST_DATA_TEST_CASE(a_read_that_ends_with_504_is_not_sent_again_for_a_caller_that_left, data::make(kWays),
+                     way) {
+    Holding holding;
+    holding.then = [](Connection& c, Request& q) { c.send(answer(504, try_of(q), "deadline")); };
+    Bed bed({Speech::expecting, 2, 10000}, holding.script());
+    Caller caller = bed.gateway->caller();
+    caller.send(caller.request(Route::read, "t"));
+    holding.begun.wait();
+    leave(caller, way);
+    BOOST_TEST(comes([&] { return left_at(bed, CallerStep::answer) == 1; }));
+    holding.release.open();
+    BOOST_TEST(comes([&] { return at_rest(bed); }));
+    BOOST_TEST(bed.arrivals("t") == 1);
+    BOOST_TEST(bed.gateway->hall.tolls.own_retries == 0u);
+}
+
 // ---- Who has not left
 
 BOOST_AUTO_TEST_CASE(who_sends_the_next_request_early_is_still_there) {
