span: the period of the listing follows the operators' drain bound

What callers would see: in a deployment whose drain_ms is below 2,000, requests at servers that had left for longer than that. Cause: the setting was read and checked, and nothing used it; the period (0.6 s), the graces and the time of a question were constants for two seconds. Deployments of two seconds and more are as before. Price: more questions to the platform where the bound is shorter, four times as many at most.

--- a/packages/span/include/span/listing_duty.hpp
+++ b/packages/span/include/span/listing_duty.hpp
@@ -79,6 +79,10 @@
         // Mutations of tests: digests say nothing of servers that leave; how late a digest comes is not
         // looked at; the period runs from an answer, with one question at a time.
         bool tell_withdrawn = true, late_words_count_as_new = false, count_from_answers = false;
+
+        /// For a deployment in which a server that leaves must be known within `bound`. The defaults are for
+        /// two seconds or more; a shorter bound makes all of this quicker, down to a quarter.
+        static Tuning within(pith::Micros bound);
     };
     ListingDuty(const Tuning& tuning, knell::Knell* members, Pool* pool)
         : tuning_(tuning), members_(members), pool_(pool) {}
--- a/packages/span/include/span/platform_listing.hpp
+++ b/packages/span/include/span/platform_listing.hpp
@@ -27,12 +27,11 @@
 
 class PlatformListing {
   public:
-    /// `calls` counts each page that is asked for.
+    /// `question_in`: how long a question may take. `calls` counts each page that is asked for.
     PlatformListing(boost::asio::io_context& io, std::string address, const Dialect& dialect,
-                    std::atomic<std::uint64_t>* calls);
+                    pith::Micros question_in, std::atomic<std::uint64_t>* calls);
     using PageRead = std::function<void(const std::vector<weft::ServerRec>&)>;
-    /// `page_read` is called with each page as soon as it is there. Fails where it takes longer than an
-    /// answer is of use.
+    /// `page_read` is called with each page as soon as it is there. Fails where it takes too long.
     PlatformAnswer ask(const PageRead& page_read, boost::asio::yield_context yield);
 
   private:
@@ -49,6 +48,7 @@
     boost::asio::io_context& io_;
     std::string address_;
     const Dialect& dialect_;
+    pith::Micros question_in_;
     std::atomic<std::uint64_t>* calls_;
     std::set<std::string> zones_;  // of all servers that were ever listed
     std::size_t pages_ = 0;        // of the last listing that was asked for as one
--- a/packages/span/src/listing_duty.cpp
+++ b/packages/span/src/listing_duty.cpp
@@ -22,6 +22,18 @@
     return true;
 }
 
+ListingDuty::Tuning ListingDuty::Tuning::within(Micros bound) {
+    constexpr Micros kBoundOfDefaults = 2 * pith::kSecond;
+    constexpr double kLeastShare = 0.25;
+    const double share =
+        std::clamp(static_cast<double>(bound) / static_cast<double>(kBoundOfDefaults), kLeastShare, 1.0);
+    Tuning tuning;
+    for (Micros* time : {&tuning.period, &tuning.grace, &tuning.step, &tuning.grace_large, &tuning.step_large,
+                         &tuning.stale, &tuning.digest_again, &tuning.digest_grace, &tuning.digest_each})
+        *time = static_cast<Micros>(share * static_cast<double>(*time));
+    return tuning;
+}
+
 bool ListingDuty::beside_control_node(const std::string& address) const {
     for (const auto* member : members_->live("keeper"))
         if (host_of(member->rec.address) == host_of(address)) return true;
--- a/packages/span/src/platform_listing.cpp
+++ b/packages/span/src/platform_listing.cpp
@@ -17,15 +17,14 @@
 
 namespace {
 constexpr int kMostPages = 1000;
-constexpr Micros kQuestionIn = 1500 * pith::kMilli;  // then the listing is too old to be told as one
-constexpr std::size_t kManyPages = 3;                // from so many on zones are asked for side by side
-constexpr int kAllEach = 30;                         // questions
+constexpr std::size_t kManyPages = 3;  // from so many on zones are asked for side by side
+constexpr int kAllEach = 30;           // questions
 constexpr int kMostRetrySeconds = 30;
 }  // namespace
 
 PlatformListing::PlatformListing(asio::io_context& io, std::string address, const Dialect& dialect,
-                                 std::atomic<std::uint64_t>* calls)
-    : io_(io), address_(std::move(address)), dialect_(dialect), calls_(calls) {}
+                                 Micros question_in, std::atomic<std::uint64_t>* calls)
+    : io_(io), address_(std::move(address)), dialect_(dialect), question_in_(question_in), calls_(calls) {}
 
 PlatformAnswer PlatformListing::ask_pages(const Question& question, const std::string& zone,
                                           asio::yield_context yield) {
@@ -102,7 +101,7 @@
 }
 
 PlatformAnswer PlatformListing::ask(const PageRead& page_read, asio::yield_context yield) {
-    const Question question{pith::mono_now() + kQuestionIn, page_read};
+    const Question question{pith::mono_now() + question_in_, page_read};
     const bool nameless = zones_.count("") != 0;
     if (pages_ < kManyPages || zones_.size() < 2 || nameless || --until_all_ <= 0)
         return ask_all(question, yield);
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -44,6 +44,12 @@
     return t;
 }
 
+CoreTuning core_tuning(const pith::Bounds& bounds) {
+    CoreTuning tuning;
+    tuning.listing = ListingDuty::Tuning::within(bounds.drain_us);
+    return tuning;
+}
+
 class Proxy : public Daemon {
   public:
     Proxy(pith::Kernel& k, const pith::Settings& s, const Dialect& d = own_dialect())
@@ -53,9 +59,11 @@
         ctl_ = kernel_.find<Control>("control");
         tick_ = std::make_unique<asio::steady_timer>(ctl_->io);
         pulse_ = std::make_unique<asio::steady_timer>(ctl_->io);
-        listing_ = std::make_unique<PlatformListing>(ctl_->io, set_.platform, hall_.dialect, &hall_.tolls.listings);
-        core_ = std::make_unique<ProxyCore>(
-            knell_config(set_, "proxy", static_cast<std::uint64_t>(pith::wall_now())), CoreTuning{}, &hall_.basin, &hall_.pool);
+        const CoreTuning tuning = core_tuning(set_.bounds);
+        listing_ = std::make_unique<PlatformListing>(ctl_->io, set_.platform, hall_.dialect, tuning.listing.stale,
+                                                     &hall_.tolls.listings);
+        core_ = std::make_unique<ProxyCore>(knell_config(set_, "proxy", static_cast<std::uint64_t>(pith::wall_now())),
+                                            tuning, &hall_.basin, &hall_.pool);
         for (int i = 0; i < set_.threads; ++i) workers_.push_back(std::make_unique<Worker>(hall_));
         front_ = std::make_unique<Front>(ctl_->io, hall_, workers_);
         hall_.arm = [this] { arm(); };
--- a/packages/span/test/listing_duty.cpp
+++ b/packages/span/test/listing_duty.cpp
@@ -255,6 +255,23 @@
             }
 }
 
+// The bound is the operators', in `bounds`.
+BOOST_AUTO_TEST_CASE(what_leaves_is_known_within_a_bound_of_less_than_two_seconds) {
+    for (const Micros bound : {1000 * kMilli, 500 * kMilli})
+        for (const std::size_t nodes : {3u, 15u})
+            for (const Loss how : {Loss::none, Loss::dead, Loss::half_cut}) {
+                const Micros takes = bound * 7 / 20;  // 700 ms of two seconds
+                const Micros latest = worst(nodes, how, 0.05, takes, ListingDuty::Tuning::within(bound));
+                BOOST_TEST_MESSAGE(nodes << " nodes, " << (how == Loss::none ? "nobody" : "the first")
+                                         << " lost, a question takes " << takes / kMilli
+                                         << " ms: known after " << latest / kMilli << " ms of "
+                                         << bound / kMilli);
+                BOOST_TEST(latest < bound);
+            }
+    // The times for two seconds are too long for one.
+    BOOST_TEST(worst(15, Loss::half_cut, 0.05, 350 * kMilli) > 1000 * kMilli);
+}
+
 // Where the period runs from answers, with one question at a time, a slow question counts twice.
 BOOST_AUTO_TEST_CASE(a_period_that_runs_from_the_answer_is_too_long) {
     ListingDuty::Tuning tuning;
