span: a planned stop uses the operators' grace

What callers would see: where grace_s is above 6 (10 on the large sites), a request at work 5.3 s after SIGTERM is broken off long before the grace ends; where it is below 6, the process is killed with requests under way. Change: Farewell takes the grace; the doors close after 2.2 s or half of it, requests are given up 0.7 s or a sixth of it before its end. At 6 s all moments are as before (span.pool, a_farewell_in_order). Evidence: a_farewell_does_not_break_off_requests_before_the_grace_ends, graces of 1 to 30 s; with the constants it gives up at 5.3 of 10 and of 30 s, and outlasts graces below 5.8 s.

--- a/packages/span/src/farewell.cpp
+++ b/packages/span/src/farewell.cpp
@@ -1,27 +1,36 @@
 #include "span/farewell.hpp"
 
+#include <algorithm>
+
 namespace span {
 
 using pith::kMilli;
+using pith::Micros;
 
 namespace {
 // The platform looks each second; a caller connected meanwhile is served.
-constexpr pith::Micros kNoticeIn = 2200 * kMilli;
-constexpr pith::Micros kGiveUp = 5300 * kMilli;  // within a grace of 6 s, with time for the answers
-constexpr pith::Micros kLeave = 5600 * kMilli;
-constexpr pith::Micros kLastWords = 150 * kMilli;  // for answers and frames on their way out
+constexpr Micros kNoticeIn = 2200 * kMilli;
+constexpr Micros kForAnswers = 700 * kMilli;  // before the grace ends
+constexpr Micros kForLeaving = 400 * kMilli;
+constexpr Micros kLastWords = 150 * kMilli;  // for answers and frames on their way out
 }  // namespace
 
-Farewell::Act Farewell::tick(pith::Micros now, std::size_t in_flight) {
+Farewell::Farewell(Micros grace)
+    : notice_(std::min(kNoticeIn, grace / 2)),
+      patience_(grace - std::min(kForAnswers, grace / 6)),
+      stay_(grace - std::min(kForLeaving, grace / 8)),
+      last_words_(std::min(kLastWords, grace / 16)) {}
+
+Farewell::Act Farewell::tick(Micros now, std::size_t in_flight) {
     if (!begun()) return none;
-    const pith::Micros t = now - began_;
-    if (done_ == none && t >= kNoticeIn) return done_ = close_doors;
-    if (done_ == close_doors && in_flight > 0 && t >= kGiveUp) return done_ = give_up;
-    if ((done_ == close_doors || done_ == give_up) && (in_flight == 0 || t >= kLeave)) {
+    const Micros t = now - began_;
+    if (done_ == none && t >= notice_) return done_ = close_doors;
+    if (done_ == close_doors && in_flight > 0 && t >= patience_) return done_ = give_up;
+    if ((done_ == close_doors || done_ == give_up) && (in_flight == 0 || t >= stay_)) {
         left_ = now;
         return done_ = leave;
     }
-    if (done_ == leave && now - left_ >= kLastWords) return done_ = end;
+    if (done_ == leave && now - left_ >= last_words_) return done_ = end;
     return none;
 }
 
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -53,7 +53,10 @@
 class Proxy : public Daemon {
   public:
     Proxy(pith::Kernel& k, const pith::Settings& s, const Dialect& d = own_dialect())
-        : kernel_(k), set_(s), hall_(s.name, s.locality, d, tide_tuning(s.bounds), pool_tuning(s.bounds)) {}
+        : kernel_(k),
+          set_(s),
+          hall_(s.name, s.locality, d, tide_tuning(s.bounds), pool_tuning(s.bounds)),
+          farewell_(s.bounds.grace_us) {}
 
     void start() override {
         ctl_ = kernel_.find<Control>("control");
--- a/packages/span/test/pool.cpp
+++ b/packages/span/test/pool.cpp
@@ -165,6 +165,27 @@
     BOOST_TEST(all(60000) == "doors@2200 give_up@5300 leave@5600 end@5760 ");
 }
 
+// The grace is the operators', in `bounds`: a request that its server works on is not broken off before its last sixth.
+BOOST_AUTO_TEST_CASE(a_farewell_does_not_break_off_requests_before_the_grace_ends) {
+    for (const pith::Micros grace : {kSecond, 3 * kSecond, 6 * kSecond, 10 * kSecond, 30 * kSecond}) {
+        Farewell farewell(grace);
+        farewell.begin(0);
+        pith::Micros doors = 0, given_up = 0, ended = 0;
+        for (pith::Micros t = 0; ended == 0 && t <= grace; t += 5 * pith::kMilli) {
+            const auto act = farewell.tick(t, 1);
+            if (act == Farewell::close_doors) doors = t;
+            if (act == Farewell::give_up) given_up = t;
+            if (act == Farewell::end) ended = t;
+        }
+        BOOST_TEST(doors > 0);
+        BOOST_TEST(doors <= 2200 * pith::kMilli);
+        BOOST_TEST(given_up > doors);
+        BOOST_TEST(given_up >= grace * 5 / 6, "given up after " << given_up << " of " << grace);
+        BOOST_TEST(ended > given_up);
+        BOOST_TEST(ended < grace);
+    }
+}
+
 // A server that is missing is forgotten in time, also where the listing does not change again.
 BOOST_AUTO_TEST_CASE(missing_servers_are_let_go) {
     Pool p("p1", "a", PoolTuning{});
