--- a/packages/loom/include/loom/world.hpp
+++ b/packages/loom/include/loom/world.hpp
@@ -28,6 +28,7 @@
     double allowance = 0, rate = 0;  // rate: visits a second, over the fleet
     double writes = 0.25;
     bool one_proxy = false;  // all its callers sit on one proxy
+    bool at_core = false;    // all its callers sit on the first proxies, as many as there are control nodes
     bool retries = false;    // retry at once, up to three times, where the answer says not run
     double flood_rate = 0;   // from flood_at to flood_end
     Micros flood_at = 0, flood_end = 0;
--- a/packages/loom/src/scenario.cpp
+++ b/packages/loom/src/scenario.cpp
@@ -182,11 +182,11 @@
 
 // One of the machines with a disk is cut off from the others that have one, again and again, and from nobody else: hearing
 // is not transitive. Both ways, or one way.
-void core_cut(Cast& c) {
+void cut_in_core(Cast& c, bool one_way_too) {
     constexpr Micros kEach = 8 * kSecond, kFor = 5500 * kMilli;
     for (Micros t = kFrom + 8 * kSecond; t + kFor < kQuiet; t += kEach) {
         const auto one = c.r.below(c.kp.size());
-        const bool hears = c.r.below(3) == 0;
+        const bool hears = one_way_too && c.r.below(3) == 0;
         const auto core = c.kp.size();
         auto set = [&w = c.w, px = c.px, kp = c.kp, one, hears, core](bool on) {
             for (std::size_t other = 0; other < core; ++other) {
@@ -202,6 +202,8 @@
         c.w.at(t + kFor, [set] { set(false); });
     }
 }
+void core_cut(Cast& c) { cut_in_core(c, true); }
+void core_cut_both(Cast& c) { cut_in_core(c, false); }
 
 void group_cut(Cast& c) {
     // A locality hears all but is not heard, then the contrary; then links that flap.
@@ -487,6 +489,7 @@
                         {"burst", quiet_day, {4, 4}, false},
                         {"flood_rest", quiet_day, {4, 4}, false},
                         {"flood_one", quiet_day, {4, 4}, false},
+                        {"flood_core", quiet_day, {4, 4}, false},
                         {"retry_storm", quiet_day, {4, 4}, false},
                         {"small_storm", quiet_day, {4, 4}, false},
                         {"kills", kills, {6, 6}, true},
@@ -502,6 +505,7 @@
                         {"split", split, {6, 66}, true},
                         {"group_cut", group_cut, {7, 221}, true},
                         {"core_cut", core_cut, {6, 66}, false},
+                        {"core_cut_both", core_cut_both, {6, 66}, false},
                         {"lag", lag, {7, 4}, true},
                         {"stale_words", stale_words, {41, 7}, true},
                         {"servers", servers, {6, 4}, true},
@@ -617,6 +621,12 @@
         big.flood_at = kFrom + 5 * kSecond;
         big.flood_end = kQuiet - 10 * kSecond;
     }
+    if (has("flood_core")) {
+        big.at_core = true;
+        big.flood_rate = big.allowance * 20;
+        big.flood_at = kFrom + 5 * kSecond;
+        big.flood_end = kQuiet - 10 * kSecond;
+    }
     if (has("small_storm")) storm = true;
     if (storm) {
         big.retries = true;
--- a/packages/loom/src/world_requests.cpp
+++ b/packages/loom/src/world_requests.cpp
@@ -49,6 +49,7 @@
                 break;
             }
     }
+    if (c.at_core) v->at = names("proxy")[rng_.below(static_cast<std::uint64_t>(d_.keepers))];
     visit(v);
 }
 
