weft, span: counts of many customers and empty feed answers go as datagrams

Cause: a frame over 1,400 bytes goes over a stream, and so did each answer of the feed: 300 streams from each proxy for its counts of 190 customers (2.3 KB), 120 to those that an aggregator serves, 300 for answers of a hundred bytes that say that nothing is new. Change: counts and sums are told in parts of 80 customers, each a datagram with a sequence number of its own; an answer of the feed that carries no change may be lost, it is asked for again; a stream that rests for 5 s is closed (20 s before). Evidence: counts_of_many_customers_go_as_datagrams (a brief of 190 was one frame of over 1,400 bytes).

--- a/packages/span/src/core.cpp
+++ b/packages/span/src/core.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "consensus/founding.hpp"
 
@@ -277,8 +278,13 @@
         spread(c, d, false);
         return;
     }
-    for (const auto& name : aggregators_.names())
-        if (name != knell_.name()) d->out.push_back({knell_.address(name), c});
+    weft::Counts part = c;
+    for (const auto& brief : weft::brief_parts(c.brief)) {
+        part.brief = brief;
+        for (const auto& name : aggregators_.names())
+            if (name != knell_.name()) d->out.push_back({knell_.address(name), part});
+        counts_seq_ = part.seq++;
+    }
 }
 
 // Live proxies that this one should hear and does not. Where aggregators pass counts on only they hear the others.
@@ -294,13 +300,18 @@
     if (every) sums_teller_.told_every(now);
     const auto& customers = every ? basin_->counts(now, true) : sums_teller_.chosen();
     const auto view = sight(now);
-    ++counts_seq_;
+    const std::uint64_t first = counts_seq_ + 1;
     for (const auto* member : knell_.live("proxy")) {
         const auto& name = member->rec.name;
         if (aggregators_.is_one(name) || !sight_.in_sight(*member, now)) continue;
         const auto tellers = aggregators_.of(name, member->rec.locality);
         if (std::find(tellers.begin(), tellers.end(), knell_.name()) == tellers.end()) continue;
-        d->out.push_back({member->rec.address, SumsTeller::word(name, customers, tally_, view, counts_seq_)});
+        auto word = SumsTeller::word(name, customers, tally_, view, first);
+        for (const auto& brief : weft::brief_parts(std::exchange(word.brief, {}))) {
+            word.brief = brief;
+            d->out.push_back({member->rec.address, word});
+            counts_seq_ = std::max(counts_seq_, word.seq++);
+        }
     }
 }
 
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -187,7 +187,7 @@
                    {"asked_by", heard.label.holder},
                    {"epoch", heard.label.epoch},
                    {"version", heard.label.version},
-                   {"known_before_ms", heard.held_for / pith::kMilli}});
+                   {"known_before_ms", age_ms(heard.held_for)}});
     }
 
     void carry_out(Todo& d) {
@@ -304,9 +304,8 @@
     void desk();
     std::string metrics();
     // At most an hour: a listing that was never confirmed has no age.
-    std::int64_t listing_age_ms() const {
-        return std::min<Micros>(core_->listing_age(pith::mono_now()), 3600 * pith::kSecond) / pith::kMilli;
-    }
+    static std::int64_t age_ms(Micros age) { return std::min<Micros>(age, 3600 * pith::kSecond) / pith::kMilli; }
+    std::int64_t listing_age_ms() const { return age_ms(core_->listing_age(pith::mono_now())); }
     json::object status();
 
     pith::Kernel& kernel_;
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -73,6 +73,8 @@
 U32 brief_hash(const Str& customer);
 void put_brief(Str* to, const BriefCount& c);
 bool get_brief(const Str& from, std::size_t i, BriefCount* c);  // the i-th, false where there is none
+// The same counts in parts, one at least, each of which is a datagram as the `brief` of a message.
+std::vector<Str> brief_parts(const Str& brief);
 
 
 // -- control state (docs/control.md)
--- a/packages/weft/src/frame.cpp
+++ b/packages/weft/src/frame.cpp
@@ -61,6 +61,14 @@
     return true;
 }
 
+std::vector<Str> brief_parts(const Str& brief) {
+    constexpr std::size_t kMostInPart = 80 * kBrief;  // beside the names in a frame's head
+    std::vector<Str> parts{brief.substr(0, kMostInPart)};
+    for (std::size_t from = kMostInPart; from < brief.size(); from += kMostInPart)
+        parts.push_back(brief.substr(from, kMostInPart));
+    return parts;
+}
+
 const char* msg_name(const Msg& m) { return std::visit(Namer{}, m); }
 
 const char* fault_text(Fault f) {
--- a/packages/weft/src/link.cpp
+++ b/packages/weft/src/link.cpp
@@ -125,6 +125,7 @@
 
 // Told again within a second or asked for: a lost one costs little.
 bool soft(const Msg& m) {
+    if (const auto* said = std::get_if<FeedSaid>(&m)) return said->changes.empty();
     return std::holds_alternative<Heartbeat>(m) || std::holds_alternative<Counts>(m) ||
            std::holds_alternative<Probes>(m) || std::holds_alternative<Load>(m) || std::holds_alternative<FeedAsk>(m) ||
            std::holds_alternative<StateAsk>(m) || std::holds_alternative<ListingAsk>(m) ||
--- a/packages/weft/src/plain.cpp
+++ b/packages/weft/src/plain.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t kMostIncoming = 2048;
 constexpr int kUnheardMs = 2000;  // a stream whose peer acknowledges nothing for so long is given up
 constexpr auto kConnectIn = std::chrono::milliseconds(1000);
-constexpr auto kIdle = std::chrono::seconds(20);
+constexpr auto kIdle = std::chrono::seconds(5);  // each peer's stream takes a descriptor
 constexpr auto kAgain = std::chrono::milliseconds(100);
 
 // A peer that is cut off or without power answers nothing: the system is told to give up soon.
--- a/packages/weft/test/frame.cpp
+++ b/packages/weft/test/frame.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "pith/hash.hpp"
+#include "weft/link.hpp"
 #include "weft/messages.hpp"
 
 using namespace weft;
@@ -196,3 +197,32 @@
     }
     BOOST_TEST(read > 100);
 }
+
+// A stream to each of hundreds of peers would take all descriptors of a machine.
+BOOST_AUTO_TEST_CASE(counts_of_many_customers_go_as_datagrams) {
+    const Str node(40, 'n');
+    for (const std::uint32_t customers : {0u, 1u, 80u, 81u, 190u, 2000u}) {
+        Counts counts;
+        FleetSums sums;
+        Str whole;
+        for (std::uint32_t i = 0; i < customers; ++i) put_brief(&whole, {i, 2 * i, i % 7, 0});
+        std::uint32_t next = 0;
+        const auto parts = brief_parts(whole);
+        BOOST_TEST(parts.size() >= 1u);
+        for (const auto& part : parts) {
+            counts.brief = sums.brief = part;
+            for (const Msg& message : {Msg(counts), Msg(sums)})
+                BOOST_TEST(goes_as_datagram(message, pack("fleet", kKey, {node, 1, 1, message}).size()));
+            BriefCount count;
+            for (std::size_t i = 0; get_brief(part, i, &count); ++i) {
+                BOOST_TEST(count.customer == next);
+                BOOST_TEST(count.released == 2 * next++);
+            }
+        }
+        BOOST_TEST(next == customers);
+    }
+    FeedSaid said;
+    BOOST_TEST(goes_as_datagram(said, pack("fleet", kKey, {node, 1, 1, said}).size()));
+    said.changes.emplace_back();  // what was asked for is to arrive
+    BOOST_TEST(!goes_as_datagram(said, pack("fleet", kKey, {node, 1, 1, said}).size()));
+}
