--- a/packages/knell/include/knell/knell.hpp
+++ b/packages/knell/include/knell/knell.hpp
@@ -21,10 +21,7 @@
     pith::Micros down_after = 1500 * pith::kMilli;
     pith::Micros forget_after = 600 * pith::kSecond;
     std::size_t watchers = 3;
-    std::size_t fan_out = 8;       // members that news goes to at once; those pass on what is news to them
-    std::size_t fan_out_many = 2;  // the same where there is much news at once: what is missed is repaired
-    pith::Micros gather = 100 * pith::kMilli;     // between two words of news
-    pith::Micros each_record = 3 * pith::kMilli;  // between two tellings of many records, for each of them
+    std::size_t fan_out = 8;  // members that news goes to at once; those pass on what is news to them
 };
 
 // What heartbeats carry for the others (docs/design.md 4.2).
@@ -38,8 +35,6 @@
     pith::Micros since = 0;              // when its state was last changed here
     Freight freight;
     std::uint64_t print = 0;  // hash of what the record says of its state, for table()
-    std::uint64_t place = 0;  // on the ring
-    bool watched = false;     // this node is one of its watchers
 };
 
 class Knell {
@@ -74,29 +69,14 @@
     const std::map<std::string, weft::EpochRec>& epochs() const { return epochs_; }
 
   private:
-    // Parts of the table, by the place of a name: the last digits of it.
-    static constexpr std::size_t kParts = 64;
-
     weft::MemberRec self() const;
     static std::uint64_t print(const weft::MemberRec& r);
     std::vector<const Member*> watchers() const;
-    std::set<const Member*> watched() const;  // those whose watcher this node is
     void merge(pith::Micros now, const weft::MemberRec& r, std::vector<weft::MemberRec>* news,
                weft::Out* out);
-    void begin_to_watch(pith::Micros now);
-    void judge(pith::Micros now, std::vector<weft::MemberRec>* news);
-    void beat(pith::Micros now, weft::Out* out);
-    void spread(pith::Micros now, const std::vector<weft::MemberRec>& v, weft::Out* out);
-    void spread_gathered(pith::Micros now, weft::Out* out);
-    void tell(const std::vector<weft::MemberRec>& v, const std::vector<const Member*>& to,
-              weft::Out* out) const;
-    bool large() const;
+    void spread(const std::vector<weft::MemberRec>& v, weft::Out* out, bool all = false);
+    std::size_t turn_ = 0;
     std::vector<weft::MemberRec> all() const;
-    std::vector<std::uint64_t> part_hashes() const;
-    void compare(pith::Micros now, const std::string& to, const weft::TableHashes& theirs, weft::Out* out);
-    void complete(pith::Micros now, const std::string& to, const weft::News& theirs, weft::Out* out);
-    bool may_tell(pith::Micros now, std::size_t records);
-    static std::size_t part(std::uint64_t place) { return place % kParts; }
 
     Config c_;
     State state_ = kLive;
@@ -108,11 +88,6 @@
     pith::Micros next_ = 0, joined_ = -pith::kNever, asked_ = -pith::kNever;
     pith::Micros last_ = -pith::kNever;
     std::string asked_last_;  // of those called down
-    std::size_t turn_ = 0;
-    std::uint64_t place_ = 0;                          // of this node on the ring
-    std::map<std::string, weft::MemberRec> gathered_;  // news that is to be spread, by name
-    pith::Micros spread_at_ = -pith::kNever;
-    pith::Micros next_much_ = -pith::kNever;  // when many records may be told again
 };
 
 }  // namespace knell
--- a/packages/knell/src/knell.cpp
+++ b/packages/knell/src/knell.cpp
@@ -12,8 +12,6 @@
 namespace {
 constexpr std::size_t kMaxMembers = 512;
 constexpr std::size_t kMaxDuties = 64;
-constexpr std::size_t kRecordsInDatagram = 10;
-constexpr std::size_t kManyNews = 8;
 
 bool newer(const MemberRec& a, const MemberRec& b) {
     if (a.inc != b.inc) return a.inc > b.inc;
@@ -22,7 +20,7 @@
 }
 }  // namespace
 
-Knell::Knell(Config c) : c_(std::move(c)), place_(pith::hash64(c_.name)) {}
+Knell::Knell(Config c) : c_(std::move(c)) {}
 
 MemberRec Knell::self() const {
     return MemberRec{c_.name, c_.address, c_.locality, c_.role,
@@ -64,110 +62,30 @@
     return v;
 }
 
-std::vector<std::uint64_t> Knell::part_hashes() const {
-    std::vector<std::uint64_t> hashes(kParts);
-    hashes[part(place_)] ^= print(self());
-    for (const auto& p : m_) hashes[part(p.second.place)] ^= p.second.print;
-    return hashes;
-}
-
-// What is known here of the parts in which the two tables differ.
-void Knell::compare(pith::Micros now, const std::string& to, const weft::TableHashes& theirs, Out* out) {
-    const auto own = part_hashes();
-    if (theirs.parts.size() != own.size()) return;
-    weft::News known;
-    for (std::size_t i = 0; i < own.size(); ++i)
-        if (own[i] != theirs.parts[i]) known.whole_parts |= std::uint64_t{1} << i;
-    if (known.whole_parts == 0) return;
-    const auto differs = [&known](std::uint64_t place) {
-        return (known.whole_parts >> part(place) & 1) != 0;
-    };
-    if (differs(place_)) known.members.push_back(self());
-    for (const auto& p : m_)
-        if (differs(p.second.place)) known.members.push_back(p.second.rec);
-    if (may_tell(now, known.members.size())) out->push_back({to, known});
-}
-
-// Much at once goes to one at a time: tables of others differ again at their next beat, by less meanwhile.
-bool Knell::may_tell(pith::Micros now, std::size_t records) {
-    if (records <= kManyNews) return true;
-    if (now < next_much_) return false;
-    next_much_ = now + static_cast<pith::Micros>(records) * c_.each_record;
-    return true;
-}
-
-// What is known here of those parts, and not or less there.
-void Knell::complete(pith::Micros now, const std::string& to, const weft::News& theirs, Out* out) {
-    std::map<std::string, const MemberRec*> told;
-    for (const auto& record : theirs.members) told[record.name] = &record;
-    weft::News more;
-    const auto add = [&](std::uint64_t place, const MemberRec& own) {
-        if ((theirs.whole_parts >> part(place) & 1) == 0) return;
-        const auto i = told.find(own.name);
-        if (i == told.end() || newer(own, *i->second)) more.members.push_back(own);
-    };
-    add(place_, self());
-    for (const auto& p : m_) add(p.second.place, p.second.rec);
-    if (!more.members.empty() && may_tell(now, more.members.size())) out->push_back({to, more});
-}
-
 // The ring: nodes ordered by the hash of their names; our watchers are the next few (docs/design.md 4.2).
 std::vector<const Member*> Knell::watchers() const {
     auto v = live();
-    const auto far = [this](const Member* m) { return m->place - place_; };
+    const std::uint64_t me = pith::hash64(c_.name);
+    auto far = [me](const Member* m) { return pith::hash64(m->rec.name) - me; };
     std::sort(v.begin(), v.end(), [&far](const Member* a, const Member* b) { return far(a) < far(b); });
     if (v.size() > c_.watchers) v.resize(c_.watchers);
     return v;
 }
 
-std::set<const Member*> Knell::watched() const {
-    auto v = live();
-    const auto before = [this](const Member* m) { return place_ - m->place; };
-    std::sort(v.begin(), v.end(),
-              [&before](const Member* a, const Member* b) { return before(a) < before(b); });
-    if (v.size() > c_.watchers) v.resize(c_.watchers);
-    return {v.begin(), v.end()};
-}
-
-bool Knell::large() const { return live().size() > 3 * c_.fan_out; }
-
-// In frames that are datagrams; a lost one is repaired.
-void Knell::tell(const std::vector<MemberRec>& v, const std::vector<const Member*>& to, Out* out) const {
-    for (std::size_t from = 0; from < v.size(); from += kRecordsInDatagram) {
-        weft::News n;
-        const std::size_t until = std::min(v.size(), from + kRecordsInDatagram);
-        n.members.assign(v.begin() + static_cast<std::ptrdiff_t>(from),
-                         v.begin() + static_cast<std::ptrdiff_t>(until));
-        for (const auto* m : to) out->push_back({m->rec.address, n});
-    }
-}
-
-// Gathered for a moment, and then told to all in a small fleet, to a few in a large one: each for whom it is
-// news passes it on, and what is missed shows in the tables' hashes (docs/design.md 4.2).
-void Knell::spread(pith::Micros now, const std::vector<MemberRec>& v, Out* out) {
-    for (const auto& record : v) gathered_[record.name] = record;
-    spread_gathered(now, out);
-}
-
-void Knell::spread_gathered(pith::Micros now, Out* out) {
-    if (gathered_.empty() || now - spread_at_ < c_.gather) return;
-    spread_at_ = now;
-    std::vector<MemberRec> v;
-    for (const auto& p : gathered_) v.push_back(p.second);
-    gathered_.clear();
+// To all in a small fleet; in a large one to a few, at even distances round the ring from one that changes: each for
+// whom it is news passes it on, and what is missed shows in the tables' hashes (docs/design.md 4.2).
+void Knell::spread(const std::vector<MemberRec>& v, Out* out, bool all_of_them) {
+    if (v.empty()) return;
+    weft::News n;
+    n.members = v;
     const auto to = live();
-    const bool much = v.size() > kManyNews;
-    if (!large() && !much) {
-        tell(v, to, out);
+    if (all_of_them || to.size() <= 3 * c_.fan_out) {
+        for (const auto* m : to) out->push_back({m->rec.address, n});
         return;
     }
-    const std::size_t fan_out = std::min(to.size(), much ? c_.fan_out_many : c_.fan_out);
-    // At even distances from one that changes.
-    turn_ += 1 + (place_ & 7);
-    std::vector<const Member*> few;
-    for (std::size_t i = 0; i < fan_out; ++i)
-        few.push_back(to[(turn_ + i * to.size() / fan_out) % to.size()]);
-    tell(v, few, out);
+    turn_ += 1 + (pith::hash64(c_.name) & 7);
+    for (std::size_t i = 0; i < c_.fan_out; ++i)
+        out->push_back({to[(turn_ + i * to.size() / c_.fan_out) % to.size()]->rec.address, n});
 }
 
 void Knell::merge(pith::Micros now, const MemberRec& r, std::vector<MemberRec>* news, Out* out) {
@@ -190,7 +108,6 @@
         Member m;
         m.rec = r;
         m.print = print(r);
-        m.place = pith::hash64(r.name);
         m.heard = now;  // a grace before we judge it ourselves
         m.since = now;
         m_.emplace(r.name, m);
@@ -225,7 +142,7 @@
     }
     auto i = m_.find(e.from);
     if (i == m_.end()) {
-        spread(now, news, out);
+        spread(news, out);
         return false;
     }
     Member& m = i->second;
@@ -270,59 +187,67 @@
         m.freight = Freight{h->commit, h->list_epoch, h->list_version};
         if (h->table != table() && now - asked_ >= c_.beat) {
             asked_ = now;
-            out->push_back({m.rec.address, weft::TableHashes{part_hashes()}});
+            weft::News n;
+            n.members = all();
+            n.wants = 1;
+            out->push_back({m.rec.address, n});
         }
-    } else if (const auto* hashes = std::get_if<weft::TableHashes>(&e.msg)) {
-        compare(now, m.rec.address, *hashes, out);
     } else if (const auto* n = std::get_if<weft::News>(&e.msg)) {
         if (n->wants != 0) {
             weft::News b;
             b.members = all();
             out->push_back({m.rec.address, b});
         }
-        if (n->whole_parts != 0) complete(now, m.rec.address, *n, out);
     }
-    spread(now, news, out);
+    spread(news, out);
     return true;
 }
 
-// One that is new to us has yet to learn that its heartbeats are to come here. In a small fleet all hear all.
-void Knell::begin_to_watch(pith::Micros now) {
-    const auto ours = watched();
-    const pith::Micros grace = 5 * c_.beat / 2;
-    const bool few_are_heard = large();
+void Knell::tick(pith::Micros now, Out* out) {
+    if (now < next_) return;
+    // Woken after a freeze: nobody could be heard meanwhile, so nobody is judged by it (docs/design.md 4.3).
+    if (last_ > -pith::kNever && now - last_ > 3 * c_.beat)
+        for (auto& p : m_) p.second.heard = std::max(p.second.heard, now - c_.beat);
+    last_ = now;
+    next_ = now + c_.beat;
+    std::vector<MemberRec> news;
+    for (auto i = m_.begin(); i != m_.end();) {
+        Member& m = i->second;
+        if (m.rec.state > kDraining && now - m.since > c_.forget_after) {
+            i = m_.erase(i);
+            continue;
+        }
+        ++i;
+    }
+    // We judge only those whose watcher we are.
     for (auto& p : m_) {
         Member& m = p.second;
-        const bool watches = ours.count(&m) != 0;
-        if (watches && !m.watched && few_are_heard) m.heard = std::max(m.heard, now - c_.down_after + grace);
-        m.watched = watches;
-    }
-}
-
-// Nodes that are silent: those whose watcher we are, and later those whose watchers are all gone with them.
-void Knell::judge(pith::Micros now, std::vector<MemberRec>* news) {
-    std::size_t heard_of_late = 0;
-    for (const auto* m : live()) heard_of_late += now - m->heard <= c_.down_after ? 1 : 0;
-    // Whose watchers are called down gets others.
-    for (std::size_t judged = 1; judged > 0;) {
-        judged = 0;
-        begin_to_watch(now);
-        for (auto& p : m_) {
-            Member& m = p.second;
-            const pith::Micros silent = now - m.heard;
-            if (m.rec.state > kDraining || silent <= c_.down_after) continue;
-            if (!m.watched && (silent <= 3 * c_.down_after || heard_of_late > 0)) continue;
-            m.rec.state = kDown;
-            ++m.rec.version;
-            m.print = print(m.rec);
-            m.since = now;
-            news->push_back(m.rec);
-            ++judged;
+        if (m.rec.state > kDraining || now - m.heard <= c_.down_after) continue;
+        bool watch = false;
+        auto v = live();
+        const std::uint64_t at = pith::hash64(m.rec.name);
+        std::vector<std::uint64_t> far;
+        for (const auto* o : v)
+            if (o->rec.name != m.rec.name) far.push_back(pith::hash64(o->rec.name) - at);
+        const std::uint64_t mine = pith::hash64(c_.name) - at;
+        std::size_t before = 0;
+        for (auto f : far) before += f < mine ? 1 : 0;
+        watch = before < c_.watchers;
+        // Others are judged by us too when their watchers are all gone with them, only later.
+        if (!watch && now - m.heard <= 3 * c_.down_after) continue;
+        if (!watch) {
+            bool watched = false;
+            for (const auto* o : v)
+                watched = watched || (o->rec.name != m.rec.name && now - o->heard <= c_.down_after);
+            if (watched) continue;
         }
+        m.rec.state = kDown;
+        ++m.rec.version;
+        m.print = print(m.rec);
+        m.since = now;
+        news.push_back(m.rec);
     }
-}
-
-void Knell::beat(pith::Micros now, Out* out) {
+    spread(news, out);
     weft::Heartbeat h;
     h.me = self();
     h.table = table();
@@ -345,37 +270,16 @@
     }
 }
 
-void Knell::tick(pith::Micros now, Out* out) {
-    spread_gathered(now, out);
-    if (now < next_) return;
-    // Woken after a freeze: nobody could be heard meanwhile, so nobody is judged by it (docs/design.md 4.3).
-    if (last_ > -pith::kNever && now - last_ > 3 * c_.beat)
-        for (auto& p : m_) p.second.heard = std::max(p.second.heard, now - c_.beat);
-    last_ = now;
-    next_ = now + c_.beat;
-    for (auto i = m_.begin(); i != m_.end();) {
-        const Member& m = i->second;
-        const bool forgotten = m.rec.state > kDraining && now - m.since > c_.forget_after;
-        i = forgotten ? m_.erase(i) : std::next(i);
-    }
-    std::vector<MemberRec> news;
-    judge(now, &news);
-    spread(now, news, out);
-    beat(now, out);
-}
-
 void Knell::say(State s, pith::Micros now, Out* out) {
     (void)now;
     if (state_ == s) return;
     state_ = s;
     ++version_;
-    tell({self()}, live(), out);
+    spread({self()}, out, true);
 }
 
 namespace {
-std::uint64_t place(const std::string& duty, const std::string& name) {
-    return pith::hash64(duty + '@' + name);
-}
+std::uint64_t place(const std::string& duty, const std::string& name) { return pith::hash64(duty + '@' + name); }
 }  // namespace
 
 bool Knell::mine(const std::string& duty, const std::string& role) const {
--- a/packages/weft/include/weft/messages.hpp
+++ b/packages/weft/include/weft/messages.hpp
@@ -26,13 +26,8 @@
     F(MemberRec, me) \
     F(U64, table) F(U64, commit) F(U64, list_epoch) F(U64, list_version) F(std::vector<EpochRec>, epochs)
 WEFT_STRUCT(Heartbeat, HEARTBEAT)
-// wants: the sender asks for the receiver's whole table (earlier versions do). whole_parts: one bit for each part of the
-// table of which `members` is all that the sender knows; who knows more of it answers (docs/design.md 4.2).
-#define NEWS(F) F(std::vector<MemberRec>, members) F(U8, wants) F(U64, whole_parts)
+#define NEWS(F) F(std::vector<MemberRec>, members) F(U8, wants)
 WEFT_STRUCT(News, NEWS)
-// Hashes of the sender's table, part by part, so that only what differs is told.
-#define TABLE_HASHES(F) F(std::vector<U64>, parts)
-WEFT_STRUCT(TableHashes, TABLE_HASHES)
 
 // -- shared tally (docs/design.md 6)
 #define COUNT_REC(F) F(Str, customer) F(U64, released) F(U64, rate_milli) F(U32, queued)
@@ -239,8 +234,7 @@
     X(36, ListingDigest)                                                                            \
     X(37, FleetSums)                                                                                \
     X(38, ListingDigestAsk)                                                                         \
-    X(39, ListingChange)                                                                            \
-    X(40, TableHashes)
+    X(39, ListingChange)
 
 #define X(t, n) , n
 using Msg = std::variant<std::monostate WEFT_MESSAGES(X)>;
--- a/packages/weft/src/link.cpp
+++ b/packages/weft/src/link.cpp
@@ -135,8 +135,7 @@
            std::holds_alternative<ContentAsk>(m) || std::holds_alternative<RelayAsk>(m) ||
            std::holds_alternative<RelayedCounts>(m) || std::holds_alternative<ListingDigest>(m) ||
            std::holds_alternative<ListingDigestAsk>(m) || std::holds_alternative<ListingChange>(m) ||
-           std::holds_alternative<FleetSums>(m) || std::holds_alternative<News>(m) ||
-           std::holds_alternative<TableHashes>(m);
+           std::holds_alternative<FleetSums>(m);
 }
 
 }  // namespace
