--- a/review/common/rig.hpp
+++ b/review/common/rig.hpp
@@ -489,7 +489,6 @@
         }
         if (ports.visits == 0) return;
         platform = std::make_unique<Platform>(Address{base + "9.2", ports.operators});
-        std::vector<std::string> seeds;
         for (int m = 1; m <= machines && m <= 3; ++m)
             seeds.push_back(base + std::to_string(m) + ".13:" + std::to_string(ports.operators));
         for (int m = 1; m <= machines; ++m) {
@@ -548,7 +547,12 @@
         return false;
     }
     Record record;
+    // Once the system has started for the first time.
+    void later_settings() {
+        for (auto& n : nodes) n->write_settings(platform->at.text(), seeds, false);
+    }
     std::string folder, base;
+    std::vector<std::string> seeds;
     Ports ports;
     std::unique_ptr<Platform> platform;
     std::vector<std::unique_ptr<Server>> servers;
