span: a server's status goes back as the number it gave, named or not

The same for every status that the HTTP library has no name for (226, 511 and 599 have one; 250, 350, 418, 425, 520 and 600 among others have none).

Cause: Relay::hand_over made the answer from result(), the library's enumeration, which is `unknown` (0) for such a status. The number is result_int(). Second effect of the same line: Errand::exchanged was handed that 0, so a failed read whose status has no name (520) counted as served well: not sent to another server, not held against the server.

Ruled out: the parser (read_answer's number was right, judge goes by it), the writer in Worker::serve (the trace of the request already said status=0). Looked for on related paths: weft::json_answer and front's refusal_reply go from a number to the enumeration, which keeps it; weft::call, helm and the listing read result_int(). No other use of result().

--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -278,7 +278,9 @@
 }
 
 void Relay::hand_over(const Reply& in, bool bodyless, bool head_only, Reply* out) const {
-    *out = Reply{in.result(), 11};
+    *out = Reply{};
+    out->version(11);
+    out->result(in.result_int());  // result() is 0 for a status that the library has no name for
     out->reason(in.reason());
     copy_fields(in, out);
     out->body() = in.body();
--- a/packages/span/test/answers.cpp
+++ b/packages/span/test/answers.cpp
@@ -442,6 +442,45 @@
     }
 }
 
+// ---- Statuses
+
+// Guards against a status that the HTTP library has no name for reaching the caller as 000.
+BOOST_DATA_TEST_CASE(any_status_goes_back_unchanged, data::make(kRoutes) * data::make(kSpeeches), route,
+                     speech) {
+    for (const int status :
+         {200, 226, 250, 299, 300, 308, 350, 399, 400, 409, 418, 425, 499, 500, 511, 520, 599, 600, 999}) {
+        Bed bed({speech, 1}, [status](Connection& c, Request& q) {
+            if (!c.read_body(&q)) return false;
+            c.send(answer(status, try_of(q), "said"));
+            return true;
+        });
+        Caller caller = bed.gateway->caller();
+        const Told told = caller.ask(route, "t");
+        BOOST_TEST(told.status == status, told);
+        BOOST_TEST(told.body == "said");
+        BOOST_TEST(bed.arrivals("t") == 1);
+    }
+}
+
+// Guards against a failure that the HTTP library has no name for counting as served well: a read was not sent
+// again.
+BOOST_DATA_TEST_CASE(any_failed_status_sends_a_read_again, data::make(kRoutes) * data::make(kSpeeches), route,
+                     speech) {
+    for (const int status : {500, 509, 520, 599, 600}) {
+        Bed bed({speech}, [status](Connection& c, Request& q) {
+            if (q.arrival > 0) return serve(c, q);
+            if (!c.read_body(&q)) return false;
+            c.send(answer(status, try_of(q), "failed"));
+            return true;
+        });
+        Caller caller = bed.gateway->caller();
+        const Told told = caller.ask(route, "t");
+        const bool read = route == Route::read;
+        BOOST_TEST(told.status == (read ? 200 : status), told);
+        BOOST_TEST(bed.arrivals("t") == (read ? 2 : 1));
+    }
+}
+
 // ---- "Not run"
 
 BOOST_DATA_TEST_CASE(not_run_goes_to_another_server, data::make(kRoutes), route) {
@@ -615,7 +654,8 @@
     };
     BOOST_TEST(play({}));
     // Where it waits for its pass first, the queue looks whether the caller is there.
-    if (speech == Speech::expecting) BOOST_TEST(!play(without({&RequestRules::send_needs_caller, &RequestRules::watch_caller})));
+    if (speech == Speech::expecting)
+        BOOST_TEST(!play(without({&RequestRules::send_needs_caller, &RequestRules::watch_caller})));
 }
 
 // The process that sent it is gone, and so is its caller's connection. The next life sends nothing again and
