span: three digits below 100 are no status, and such an answer is not passed on

Cause: the library's parser takes any three digits, and only 101 was turned away behind it. Change: below 100 it is what other noise is: the connection closes, a read goes to another server, a write's caller is told 502 "answer_garbled", ran unknown.

--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -24,6 +24,7 @@
 constexpr Micros kIdleFor = 20 * pith::kSecond;
 constexpr Micros kProveIn = 1500 * pith::kMilli;
 constexpr Micros kOldListing = 1500 * pith::kMilli;  // of the 2 s in which a leaving server is to be left alone
+constexpr int kLowestStatus = 100;  // RFC 9110 15; the parser takes any three digits
 constexpr int kMostAnswers = 8;  // read for one request: interim ones, late ones to other requests, its own
 
 std::chrono::steady_clock::time_point at(Micros t) {
@@ -209,7 +210,7 @@
         if (ec == beast::error::timeout) return Step::late;
         if (ec) return broken_off(ec) || !sent.whole ? Step::lost : Step::garbled;
         const int st = rp.get().result_int();
-        if (st == 101) return Step::garbled;
+        if (st < kLowestStatus || st == 101) return Step::garbled;
         if (st >= 100 && st < 200 && rules.skip_interim) continue;
         // An answer whose end is only the session's end can't be told from a cut one.
         const bool bodyless = head_only || st == 204 || st == 304;
--- a/packages/span/test/answers.cpp
+++ b/packages/span/test/answers.cpp
@@ -462,6 +462,21 @@
     }
 }
 
+// Guards against three digits that are no status being passed on as one.
+BOOST_DATA_TEST_CASE(status_below_100_is_no_answer, data::make(kRoutes) * data::make(kSpeeches), route,
+                     speech) {
+    for (const std::string status : {"000", "007", "099"}) {
+        Bed bed({speech}, lose_first([&](Connection& c, Request& q) {
+                    c.read_body(&q);
+                    c.send("HTTP/1.1 " + status +
+                           " Said\r\nMarble-Try: t\r\nTest-Seal: x\r\nContent-Length: 2\r\n\r\nno");
+                    c.wait_for_close();  // by the gateway, at once
+                }));
+        Caller caller = bed.gateway->caller();
+        check_lost(route, caller.ask(route, "t"), bed, "answer_garbled");
+    }
+}
+
 // Guards against a failure that the HTTP library has no name for counting as served well: a read was not sent
 // again.
 BOOST_DATA_TEST_CASE(any_failed_status_sends_a_read_again, data::make(kRoutes) * data::make(kSpeeches), route,
