mime.soak: servers answer with any status, and the judge holds the caller's against it

One answer in eight now has a status drawn from 200 to 599, named or not; an answer names its server, and MIXED is also a status that this server did not give, or any answer of a server (before: a 200) that names another try. What the judge says of each is tried in each_rule_is_seen_to_be_broken. The ledger takes an answer as one typed SoakAnswer.

--- a/packages/mime/include/mime/soak_ledger.hpp
+++ b/packages/mime/include/mime/soak_ledger.hpp
@@ -28,6 +28,15 @@
     std::string instance;
     pith::Micros at = 0, until = 0, would_last = 0;
     WorkEnd end = WorkEnd::open;
+    int status = 0;  ///< that the server answered with
+};
+
+/// An answer as its caller saw it.
+struct SoakAnswer {
+    int status = 0;
+    std::string try_id;  ///< the try that it names
+    std::string server;  ///< the instance that gave it; empty: the gateway's own
+    bool says_not_run = false;
 };
 
 struct SoakRequest {
@@ -35,10 +44,8 @@
     bool write = false;
     pith::Micros sent_at = 0, ended_at = 0;
     CallerEnd end = CallerEnd::open;
-    int status = 0;
-    std::string answers_try;  ///< the try that the answer names
-    std::string left_by;      ///< how the caller ended the connection
-    bool says_not_run = false;
+    SoakAnswer answer;
+    std::string left_by;  ///< how the caller ended the connection
     std::vector<SoakArrival> arrivals;
 };
 
@@ -60,12 +67,14 @@
   public:
     void sent(const std::string& try_id, const std::string& proxy, bool write,
               pith::Micros at = pith::mono_now());
-    void ended(const std::string& try_id, CallerEnd end, int status = 0, const std::string& answers_try = {},
-               bool says_not_run = false);
+    void answered(const std::string& try_id, SoakAnswer answer);
+    /// Any other end.
+    void ended(const std::string& try_id, CallerEnd end);
     void left(const std::string& try_id, const std::string& way, pith::Micros at = pith::mono_now());
-    /// Gives the number of the arrival, for worked().
+    /// Gives the number of the arrival, for gave_status() and worked().
     std::size_t arrived(const std::string& try_id, const std::string& instance, pith::Micros would_last,
                         pith::Micros at = pith::mono_now());
+    void gave_status(const std::string& try_id, std::size_t arrival, int status);
     void worked(const std::string& try_id, std::size_t arrival, WorkEnd end,
                 pith::Micros at = pith::mono_now());
 
--- a/packages/mime/include/mime/soak_servers.hpp
+++ b/packages/mime/include/mime/soak_servers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// Back-end servers of a soak, all in this process: each request is entered in the ledger as it arrives, is
-/// worked on for a drawn time, and ends early where its connection closes, as most servers do.
+/// worked on for a drawn time, and ends early where its connection closes, as most servers do. Some are
+/// answered with a drawn status in place of 200, which may be one that no standard names.
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
@@ -11,6 +12,9 @@
 
 namespace mime {
 
+/// Field of a server's answers that names its instance.
+constexpr const char* kServerField = "Soak-Server";
+
 class SoakServer : public std::enable_shared_from_this<SoakServer> {
   public:
     SoakServer(boost::asio::io_context& io, SoakLedger& ledger, std::string service, std::string instance,
--- a/packages/mime/src/soak_callers.cpp
+++ b/packages/mime/src/soak_callers.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 
+#include "mime/soak_servers.hpp"
 #include "pith/hash.hpp"
 #include "weft/desk.hpp"
 
@@ -133,8 +134,12 @@
             const auto* value = object == nullptr ? nullptr : object->if_contains(name);
             return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
         };
-        all_.ledger_.ended(try_id, CallerEnd::answered, answer.result_int(), word("try"),
-                           word("ran") == "no");
+        SoakAnswer seen;
+        seen.status = static_cast<int>(answer.result_int());
+        seen.try_id = word("try");
+        seen.server = std::string(answer[kServerField]);
+        seen.says_not_run = word("ran") == "no";
+        all_.ledger_.answered(try_id, std::move(seen));
         if (!answer.keep_alive()) stream_.reset();
     }
 
--- a/packages/mime/src/soak_ledger.cpp
+++ b/packages/mime/src/soak_ledger.cpp
@@ -17,6 +17,15 @@
 constexpr std::size_t kFew = 3;
 constexpr std::size_t kMostNamed = 5;
 
+/// Whether the server that the caller's answer names gave that status.
+bool given_by_server(const SoakRequest& request) {
+    const SoakAnswer& answer = request.answer;
+    return std::any_of(request.arrivals.begin(), request.arrivals.end(),
+                       [&answer](const SoakArrival& arrival) {
+                           return arrival.instance == answer.server && arrival.status == answer.status;
+                       });
+}
+
 void note(SoakVerdict* verdict, SoakRule rule, const std::string& what) {
     auto& list = verdict->broken[rule];
     if (list.size() < kMostNamed) list.push_back(what);
@@ -49,15 +58,17 @@
     request.sent_at = at;
 }
 
-void SoakLedger::ended(const std::string& try_id, CallerEnd end, int status, const std::string& answers_try,
-                       bool says_not_run) {
+void SoakLedger::answered(const std::string& try_id, SoakAnswer answer) {
+    ended(try_id, CallerEnd::answered);
+    Lock lock(mutex_);
+    requests_[try_id].answer = std::move(answer);
+}
+
+void SoakLedger::ended(const std::string& try_id, CallerEnd end) {
     Lock lock(mutex_);
     auto& request = requests_[try_id];
     request.ended_at = pith::mono_now();
     request.end = end;
-    request.status = status;
-    request.answers_try = answers_try;
-    request.says_not_run = says_not_run;
 }
 
 void SoakLedger::left(const std::string& try_id, const std::string& way, Micros at) {
@@ -72,10 +83,15 @@
                                 Micros at) {
     Lock lock(mutex_);
     auto& arrivals = requests_[try_id].arrivals;
-    arrivals.push_back({instance, at, 0, would_last, WorkEnd::open});
+    arrivals.push_back({instance, at, 0, would_last, WorkEnd::open, 0});
     return arrivals.size() - 1;
 }
 
+void SoakLedger::gave_status(const std::string& try_id, std::size_t arrival, int status) {
+    Lock lock(mutex_);
+    requests_[try_id].arrivals[arrival].status = status;
+}
+
 void SoakLedger::worked(const std::string& try_id, std::size_t arrival, WorkEnd end, Micros at) {
     Lock lock(mutex_);
     auto& work = requests_[try_id].arrivals[arrival];
@@ -111,11 +127,17 @@
 // These hold at any time, on any node.
 void SoakLedger::judge_answer(const std::string& try_id, const SoakRequest& request,
                               SoakVerdict* verdict) const {
-    if (request.end == CallerEnd::answered && request.status == 200 && request.answers_try != try_id)
-        note(verdict, SoakRule::mixed, try_id + " was given the answer to " + request.answers_try);
+    const SoakAnswer& answer = request.answer;
+    const bool by_server = !answer.server.empty();
+    if ((by_server || answer.status == 200) && answer.try_id != try_id)
+        note(verdict, SoakRule::mixed, try_id + " was given the answer to " + answer.try_id);
+    if (by_server && !given_by_server(request))
+        note(verdict, SoakRule::mixed,
+             try_id + " was given " + std::to_string(answer.status) + ", which " + answer.server +
+                 " did not give");
     if (request.write && request.arrivals.size() > 1)
         note(verdict, SoakRule::twice, try_id + " ran " + std::to_string(request.arrivals.size()) + " times");
-    if (request.says_not_run && request.write && !request.arrivals.empty())
+    if (answer.says_not_run && request.write && !request.arrivals.empty())
         note(verdict, SoakRule::refused, try_id + " was told that it did not run, and ran");
 }
 
--- a/packages/mime/src/soak_servers.cpp
+++ b/packages/mime/src/soak_servers.cpp
@@ -27,6 +27,8 @@
 constexpr Micros kLeastWork = 3 * kMilli, kMostWork = 60 * kMilli;
 constexpr int kLongEach = 12;  // one request in so many lasts long
 constexpr Micros kLong = 1500 * kMilli;
+constexpr int kOtherStatusEach = 8;  // one answer in so many
+constexpr int kLowestFinalStatus = 200, kHighestStatus = 599;
 }  // namespace
 
 struct SoakServer::Impl : std::enable_shared_from_this<SoakServer::Impl> {
@@ -55,6 +57,15 @@
         return static_cast<Micros>(static_cast<double>(work) * slower);
     }
 
+    // 204, 205 and 304 have no body, which the answer's try stands in.
+    int draw_status() {
+        if (random.below(kOtherStatusEach) != 0) return kLowestFinalStatus;
+        constexpr std::uint64_t kStatuses = kHighestStatus - kLowestFinalStatus + 1;
+        const int drawn = kLowestFinalStatus + static_cast<int>(random.below(kStatuses));
+        const bool bodyless = drawn == 204 || drawn == 205 || drawn == 304;
+        return bodyless ? kLowestFinalStatus : drawn;
+    }
+
     void accept(asio::yield_context yield) {
         for (;;) {
             Code ec;
@@ -113,7 +124,11 @@
                 const bool stayed = work(stream, time, yield);
                 ledger.worked(try_id, arrival, stayed ? WorkEnd::answered : WorkEnd::broken_off);
                 if (!stayed || closed) return;
+                const int status = draw_status();
+                ledger.gave_status(try_id, arrival, status);
+                answer.result(static_cast<unsigned>(status));
                 answer.set("Marble-Try", try_id);
+                answer.set(kServerField, instance);
                 answer.body() = json::serialize(json::object{{"try", try_id}, {"instance", instance}});
             }
             answer.prepare_payload();
--- a/packages/mime/test/soak.cpp
+++ b/packages/mime/test/soak.cpp
@@ -50,6 +50,17 @@
     }
 }
 
+// An answer with a server's name that names its try, and has the status that the server gave or another.
+void judges_statuses() {
+    for (const int seen : {425, 0, 200}) {
+        Account account;
+        account.ledger.sent("a", "p1", true);
+        account.ledger.gave_status("a", account.ledger.arrived("a", "i1", kMilli), 425);
+        account.ledger.answered("a", {seen, "a", "i1", false});
+        BOOST_TEST(account.breaks(SoakRule::mixed) == (seen != 425));
+    }
+}
+
 // Four reads whose callers leave at once. `sent_late`: how long after that they reach a server; `works_for`:
 // how long it then works on.
 bool gone_is_broken(pith::Micros sent_late, pith::Micros works_for, bool in_touch = true) {
@@ -79,9 +90,11 @@
 BOOST_AUTO_TEST_CASE(each_rule_is_seen_to_be_broken) {
     Account mixed;
     mixed.ledger.sent("a", "p1", false);
-    mixed.ledger.ended("a", CallerEnd::answered, 200, "b");
+    mixed.ledger.answered("a", {200, "b", "", false});
     BOOST_TEST(mixed.breaks(SoakRule::mixed));
 
+    judges_statuses();
+
     Account twice;
     twice.ledger.sent("a", "p1", true);
     twice.ledger.arrived("a", "i1", kMilli);
@@ -92,7 +105,7 @@
     Account refused;
     refused.ledger.sent("a", "p1", true);
     refused.ledger.arrived("a", "i1", kMilli);
-    refused.ledger.ended("a", CallerEnd::answered, 503, "", true);
+    refused.ledger.answered("a", {503, "", "", true});
     BOOST_TEST(refused.breaks(SoakRule::refused));
 
     Account lost;
