span.operator_calls: the pipelined request waits until the first operation has begun

The review traced the red to the test: /release, on another connection, may be handled before /slow, and then calls an empty reply. That two connections are begun in the order of their requests is promised nowhere. The test now sends /release once the handler of /slow has been called; what it checks is unchanged (/quick is not begun before /slow is answered, and each request gets its own answer).

--- a/packages/span/test/operator_calls.cpp
+++ b/packages/span/test/operator_calls.cpp
@@ -114,22 +114,26 @@
 // The second of two pipelined requests is not begun before the first is answered.
 BOOST_AUTO_TEST_CASE(pipelined_operations) {
     weft::Desk::Reply pending;
-    int begun = 0;
+    Latch slow_begun;
+    int quick_begun = 0;
     OperatorDesk desk([&](weft::Desk& d) {
-        d.on("GET", "/slow", [&](const weft::Ask&, weft::Desk::Reply r) { pending = std::move(r); });
+        d.on("GET", "/slow", [&](const weft::Ask&, weft::Desk::Reply r) {
+            pending = std::move(r);
+            slow_begun.open();
+        });
         d.on("GET", "/release", [&](const weft::Ask&, weft::Desk::Reply r) {
-            const int before = begun;
+            const int before = quick_begun;
             pending(said("slow"));
             r(said("begun " + std::to_string(before)));
         });
         d.on("GET", "/quick", [&](const weft::Ask&, weft::Desk::Reply r) {
-            ++begun;
+            ++quick_begun;
             r(said("quick"));
         });
     });
     Operator caller(desk.address), other(desk.address);
     caller.send(Operator::request("/slow") + Operator::request("/quick"));
-    // /slow was begun once the desk has read it; it was accepted first.
+    slow_begun.wait();  // two connections are begun in any order
     BOOST_TEST(other.ask("/release") == "200 begun 0");
     BOOST_TEST(caller.read() == "200 slow");
     BOOST_TEST(caller.read() == "200 quick");
