--- a/packages/mime/src/main.cpp
+++ b/packages/mime/src/main.cpp
@@ -28,7 +28,7 @@
 DEFINE_int32(deadline_ms, 2000, "callers: deadline");
 DEFINE_bool(retry, false, "callers: retry once, at once");
 DEFINE_string(program, "", "fleet: the marblesaddle program");
-DEFINE_string(folder, "run", "fleet: folder for settings, data and logs");
+DEFINE_string(folder, "", "folder for settings, data and logs; fleet: run, soak: /tmp/marblesaddle-soak, and -SEED");
 DEFINE_int32(proxy_count, 5, "fleet: proxies");
 DEFINE_int32(servers_each, 2, "fleet: servers of each of the three services");
 DEFINE_string(seeds, "1-3", "soak: seeds, A-B, one run each");
@@ -68,7 +68,7 @@
 int fleet() {
     mime::FleetPlan p;
     p.program = FLAGS_program;
-    p.folder = FLAGS_folder;
+    p.folder = FLAGS_folder.empty() ? "run" : FLAGS_folder;
     p.proxies = FLAGS_proxy_count;
     for (auto& s : p.servers) s.second = FLAGS_servers_each;
     p.echo = FLAGS_echo;
@@ -107,12 +107,13 @@
     const std::uint64_t first = std::strtoull(FLAGS_seeds.c_str(), nullptr, 10);
     const std::uint64_t last =
         dash == std::string::npos ? first : std::strtoull(FLAGS_seeds.c_str() + dash + 1, nullptr, 10);
+    const std::string folder = FLAGS_folder.empty() ? "/tmp/marblesaddle-soak" : FLAGS_folder;
     std::uint64_t broken = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed) {
         mime::SoakPlan plan;
         plan.fleet.program = FLAGS_program;
         plan.fleet.mime = self;
-        plan.fleet.folder = FLAGS_folder + "-" + std::to_string(seed);
+        plan.fleet.folder = folder + "-" + std::to_string(seed);
         plan.fleet.keepers = FLAGS_keeper_count;
         plan.fleet.proxies = FLAGS_proxy_count;
         plan.fleet.large = FLAGS_large;
