--- a/packages/span/test/answers.cpp
+++ b/packages/span/test/answers.cpp
@@ -477,8 +477,7 @@
     }
 }
 
-// Guards against a failure that the HTTP library has no name for counting as served well: a read was not sent
-// again.
+// Guards against a failure without a name in the HTTP library counting as served well.
 BOOST_DATA_TEST_CASE(any_failed_status_sends_a_read_again, data::make(kRoutes) * data::make(kSpeeches), route,
                      speech) {
     for (const int status : {500, 509, 520, 599, 600}) {
