--- a/packages/mime/include/mime/fleet.hpp
+++ b/packages/mime/include/mime/fleet.hpp
@@ -27,6 +27,8 @@
     std::string log_level = "info";
     bool large = false;  // plain links, and a tolerance of the allowances, with which large fleets aggregate their counts
     bool echo = false;  // logs to our stderr too
+    // Of each process, as its settings say; 0: not said.
+    std::size_t memory_mb = 0, descriptors = 0;
 };
 
 class Fleet {
@@ -46,6 +48,7 @@
     void free_disk(const std::string& name);  // there is room again
     void move(const std::string& name);       // other addresses from its next start on
     void kill(const std::string& name, int signal);
+    pid_t pid(const std::string& name);  // -1: it was waited for, or never started
     int wait_end(const std::string& name);  // exit code, or 128 + signal
     // Blocks until the process logs a line that holds all the words; false where it ends or `limit_s` passed.
     bool wait_line(const std::string& name, const std::vector<std::string>& words, int limit_s = 60);
--- a/packages/mime/src/fleet.cpp
+++ b/packages/mime/src/fleet.cpp
@@ -143,6 +143,8 @@
     o["keepers"] = keepers;
     o["secret_file"] = p_.folder + "/secret";
     o["log_level"] = p_.log_level;
+    if (p_.memory_mb > 0) o["memory_mb"] = p_.memory_mb;
+    if (p_.descriptors > 0) o["descriptors"] = p_.descriptors;
     if (p_.large) {
         o["frames"] = "plain";
         o["bounds"] = json::object{{"quota_slack", 20}, {"retry_slack", 200}};
@@ -238,6 +240,12 @@
     if (i != child_.end() && i->second.pid > 0) ::kill(i->second.pid, signal);
 }
 
+pid_t Fleet::pid(const std::string& name) {
+    Lock l(m_);
+    const auto i = child_.find(name);
+    return i == child_.end() ? -1 : i->second.pid;
+}
+
 int Fleet::wait_end(const std::string& name) {
     pid_t p;
     {
