--- a/packages/weft/include/weft/carrier.hpp
+++ b/packages/weft/include/weft/carrier.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "budget/process_limits.hpp"
 #include "pith/error.hpp"
 
 namespace weft {
@@ -25,6 +26,8 @@
 };
 
 std::unique_ptr<Carrier> zmq_carrier(boost::asio::io_context& io);
-std::unique_ptr<Carrier> plain_carrier(boost::asio::io_context& io);
+/// What its frames hold is counted in `limits`; none: in this machine's.
+std::unique_ptr<Carrier> plain_carrier(boost::asio::io_context& io,
+                                       std::shared_ptr<budget::ProcessLimits> limits = nullptr);
 
 }  // namespace weft
--- a/packages/weft/include/weft/link.hpp
+++ b/packages/weft/include/weft/link.hpp
@@ -27,7 +27,7 @@
   public:
     using Hear = std::function<void(Envelope&)>;
     Link(boost::asio::io_context& io, std::string fleet, std::string secret, std::string name,
-         bool plain = false);
+         bool plain = false, std::shared_ptr<budget::ProcessLimits> limits = nullptr);
     ~Link();
     Link(const Link&) = delete;
     Link& operator=(const Link&) = delete;
--- a/packages/weft/src/link.cpp
+++ b/packages/weft/src/link.cpp
@@ -144,8 +144,9 @@
 
 std::unique_ptr<Carrier> zmq_carrier(boost::asio::io_context& io) { return std::make_unique<Zmq>(io); }
 
-Link::Link(boost::asio::io_context& io, std::string fleet, std::string secret, std::string name, bool plain)
-    : carrier_(plain ? plain_carrier(io) : zmq_carrier(io)),
+Link::Link(boost::asio::io_context& io, std::string fleet, std::string secret, std::string name, bool plain,
+           std::shared_ptr<budget::ProcessLimits> limits)
+    : carrier_(plain ? plain_carrier(io, std::move(limits)) : zmq_carrier(io)),
       fleet_(std::move(fleet)),
       secret_(std::move(secret)),
       name_(std::move(name)) {}
--- a/packages/weft/src/plain.cpp
+++ b/packages/weft/src/plain.cpp
@@ -14,6 +14,8 @@
 #include <deque>
 #include <map>
 
+#include "budget/counted_string.hpp"
+#include "budget/holders.hpp"
 #include "pith/time.hpp"
 #include "weft/carrier.hpp"
 #include "weft/codec.hpp"
@@ -32,7 +34,9 @@
 constexpr std::size_t kMostBytes = kMaxFrame + 65536;  // to one peer
 constexpr std::size_t kMostInAll = kMaxFrame + kMaxFrame / 4;  // to all of them together
 constexpr std::size_t kMostPeers = 2048;
-constexpr std::size_t kMostIncoming = 2048;
+constexpr std::size_t kPiece = 16 * 1024;  // bytes of a frame that are read at once
+constexpr std::size_t kLinks = 2;          // of a process, at most
+constexpr std::size_t kPartsOfBytes = 2 * kLinks;  // half of what nodes may hold is for frames that go out
 constexpr int kUnheardMs = 2000;  // a stream whose peer acknowledges nothing for so long is given up
 constexpr auto kConnectIn = std::chrono::milliseconds(1000);
 constexpr auto kIdle = std::chrono::seconds(5);  // each peer's stream takes a descriptor
@@ -56,16 +60,14 @@
 // The stream to one peer: opened when there is something to say, closed after a while of silence.
 class Outgoing : public std::enable_shared_from_this<Outgoing> {
   public:
-    Outgoing(asio::io_context& io, tcp::endpoint to, std::shared_ptr<std::size_t> all)
+    Outgoing(asio::io_context& io, tcp::endpoint to, std::shared_ptr<budget::Account> all)
         : socket_(io), timer_(io), to_(std::move(to)), all_(std::move(all)) {}
-    ~Outgoing() { *all_ -= bytes_; }
+    ~Outgoing() { all_->give(bytes_); }
 
     bool send(const std::string& f) {
-        if (q_.size() >= kMostQueued || bytes_ + f.size() > kMostBytes || *all_ + f.size() > kMostInAll)
-            return false;
-        if (state_ == failed) return false;
+        if (q_.size() >= kMostQueued || bytes_ + f.size() > kMostBytes) return false;
+        if (state_ == failed || !all_->take(f.size())) return false;
         bytes_ += f.size();
-        *all_ += f.size();
         q_.push_back(f);
         if (state_ == closed) connect();
         if (state_ == open && !writing_) write();
@@ -121,14 +123,14 @@
             if (e) return me->fail();
             me->writing_ = false;
             me->bytes_ -= me->q_.front().size();
-            *me->all_ -= me->q_.front().size();
+            me->all_->give(me->q_.front().size());
             me->q_.pop_front();
             me->rest();
             me->write();
         });
     }
     void forget() {
-        *all_ -= bytes_;
+        all_->give(bytes_);
         bytes_ = 0;
         q_.clear();
     }
@@ -148,22 +150,39 @@
     State state_ = closed;
     std::deque<std::string> q_;
     std::size_t bytes_ = 0;
-    std::shared_ptr<std::size_t> all_;  // bytes queued to all peers
+    std::shared_ptr<budget::Account> all_;  // bytes queued to all peers
     bool writing_ = false;
     std::array<unsigned char, 4> head_{};
 };
 
-// A peer's stream to us. The frame's tag is checked by who takes it.
+// What all streams to us share with the carrier, which they may outlive.
+struct Receiving {
+    Receiving(Carrier::Take its_take, std::shared_ptr<budget::ProcessLimits> its_limits)
+        : take(std::move(its_take)),
+          limits(std::move(its_limits)),
+          holders(limits->nodes, kPartsOfBytes, kLinks) {}
+    Carrier::Take take;
+    std::shared_ptr<budget::ProcessLimits> limits;
+    budget::Holders holders;
+    std::array<char, kPiece> piece{};  // of the frame that is read just now
+    bool open = true;
+};
+
+// A peer's stream to us. The frame's tag is checked by who takes it; until then it may be anybody's, and is
+// held and counted as it comes.
 class Incoming : public std::enable_shared_from_this<Incoming> {
   public:
-    Incoming(tcp::socket s, Carrier::Take& t, std::size_t& n, std::shared_ptr<bool> alive)
-        : socket_(std::move(s)), timer_(socket_.get_executor()), take_(t), n_(n), alive_(std::move(alive)) {
-        ++n_;
+    Incoming(tcp::socket s, std::shared_ptr<Receiving> receiving)
+        : socket_(std::move(s)),
+          timer_(socket_.get_executor()),
+          receiving_(std::move(receiving)),
+          holder_(receiving_->holders, [this] { let_go(); }) {
         watch(socket_);
+        Code ec;
+        socket_.non_blocking(true, ec);
+        body_.counted_by(&holder_);
     }
-    ~Incoming() {
-        if (*alive_) --n_;
-    }
+    bool admitted() const { return holder_.admitted(); }
     void read() {
         timer_.expires_after(3 * kIdle);
         timer_.async_wait([w = weak_from_this()](Code e) {
@@ -171,44 +190,76 @@
             Code ec;
             if (!e && me) me->socket_.close(ec);
         });
+        holder_.peer_waited_for();
         asio::async_read(socket_, asio::buffer(head_), [me = shared_from_this()](Code e, std::size_t) {
-            if (e || !*me->alive_) return me->done();
-            std::size_t n = 0;
+            if (e || !me->receiving_->open) return me->done();
+            me->size_ = 0;
             for (std::size_t i = 0; i < me->head_.size(); ++i)
-                n |= static_cast<std::size_t>(me->head_[i]) << (8 * i);
-            if (n == 0 || n > kMaxFrame) return me->done();
-            me->body_.resize(n);
-            asio::async_read(me->socket_, asio::buffer(me->body_), [me](Code f, std::size_t) {
-                if (f || !*me->alive_) return me->done();
-                me->take_(me->body_);
-                if (me->body_.capacity() > 65536) std::string().swap(me->body_);
-                me->read();
-            });
+                me->size_ |= static_cast<std::size_t>(me->head_[i]) << (8 * i);
+            if (me->size_ == 0 || me->size_ > kMaxFrame) return me->done();
+            me->holder_.peer_waited_for();
+            me->read_body();
         });
     }
 
   private:
-    void done() { timer_.cancel(); }
+    void read_body() {
+        socket_.async_wait(tcp::socket::wait_read, [me = shared_from_this()](Code e) {
+            if (e || !me->receiving_->open) return me->done();
+            auto& piece = me->receiving_->piece;
+            const std::size_t most = std::min(piece.size(), me->size_ - me->body_.size());
+            const std::size_t n = me->socket_.read_some(asio::buffer(piece.data(), most), e);
+            if (e == asio::error::would_block) return me->read_body();
+            if (e || !me->body_.append(piece.data(), n, me->size_)) return me->done();
+            me->holder_.peer_moved(n);
+            if (me->body_.size() < me->size_) return me->read_body();
+            me->whole();
+        });
+    }
+    void whole() {
+        holder_.peer_done();
+        receiving_->take(body_.text());
+        if (size_ > kPiece) body_.clear();
+        body_.drop_contents();
+        read();
+    }
+    void done() {
+        timer_.cancel();
+        let_go();
+    }
+    void let_go() {
+        Code ec;
+        body_.clear();
+        socket_.close(ec);
+    }
+
     tcp::socket socket_;
     asio::steady_timer timer_;
-    Carrier::Take& take_;
-    std::size_t& n_;
-    std::shared_ptr<bool> alive_;
+    std::shared_ptr<Receiving> receiving_;
+    budget::Holder holder_;
     std::array<unsigned char, 4> head_{};
-    std::string body_;
+    std::size_t size_ = 0;  // of the frame that is read
+    budget::CountedString body_;
 };
 
 class Plain : public Carrier {
   public:
-    explicit Plain(asio::io_context& io) : io_(io), acceptor_(io), datagrams_(io), again_(io) {}
+    Plain(asio::io_context& io, std::shared_ptr<budget::ProcessLimits> limits)
+        : io_(io),
+          acceptor_(io),
+          datagrams_(io),
+          again_(io),
+          limits_(std::move(limits)),
+          queued_(std::make_shared<budget::Account>(kMostInAll, &limits_->nodes.bytes)) {}
     ~Plain() override { close(); }
 
     pith::Result<std::string> open(const std::string& address, Take t) override {
-        take_ = std::move(t);
+        receiving_ = std::make_shared<Receiving>(std::move(t), limits_);
         const auto ep = endpoint(address);
         Code ec;
         acceptor_.open(ep.protocol(), ec);
         if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+        if (!ec) bound_socket_buffers(acceptor_);
         if (!ec) acceptor_.bind(ep, ec);
         if (!ec) acceptor_.listen(512, ec);
         tcp::endpoint at;
@@ -246,6 +297,7 @@
         if (!open_) return;
         open_ = false;
         *alive_ = false;
+        receiving_->open = false;
         Code ec;
         acceptor_.close(ec);
         datagrams_.close(ec);
@@ -264,7 +316,8 @@
                 });
                 return;
             }
-            if (in_ < kMostIncoming) std::make_shared<Incoming>(std::move(s), take_, in_, alive_)->read();
+            const auto incoming = std::make_shared<Incoming>(std::move(s), receiving_);
+            if (incoming->admitted()) incoming->read();  // else closed at once
             accept();
         });
     }
@@ -275,7 +328,7 @@
                 Code e;
                 const std::size_t n = datagrams_.receive(asio::buffer(got_), 0, e);
                 if (e) break;
-                take_(std::string_view(got_.data(), n));
+                receiving_->take(std::string_view(got_.data(), n));
             }
             if (*a) wait();
         });
@@ -285,10 +338,10 @@
     tcp::acceptor acceptor_;
     udp::socket datagrams_;
     asio::steady_timer again_;
-    Take take_;
+    std::shared_ptr<budget::ProcessLimits> limits_;
+    std::shared_ptr<Receiving> receiving_;
     std::map<std::string, std::shared_ptr<Outgoing>> out_;
-    std::shared_ptr<std::size_t> queued_ = std::make_shared<std::size_t>(0);
-    std::size_t in_ = 0;
+    std::shared_ptr<budget::Account> queued_;
     std::array<char, 2048> got_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool open_ = false;
@@ -296,6 +349,9 @@
 
 }  // namespace
 
-std::unique_ptr<Carrier> plain_carrier(asio::io_context& io) { return std::make_unique<Plain>(io); }
+std::unique_ptr<Carrier> plain_carrier(asio::io_context& io, std::shared_ptr<budget::ProcessLimits> limits) {
+    if (!limits) limits = std::make_shared<budget::ProcessLimits>(0, 0);
+    return std::make_unique<Plain>(io, std::move(limits));
+}
 
 }  // namespace weft
