--- a/packages/creed/include/creed/bundle.hpp
+++ b/packages/creed/include/creed/bundle.hpp
@@ -1,10 +1,13 @@
 #pragma once
 // The bundle: one numbered word of the operators, checked whole before anything acts on it
 // (docs/design.md 5.1).
+#include <boost/json/value.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +18,12 @@
 
 constexpr std::size_t kMaxBundle = 8 * 1024 * 1024;
 
+/// How many bytes one parsed text may take, from now on, in this process: a text of small values takes many
+/// times its own size.
+void parse_limit(std::size_t bytes);
+/// Fails with not_enough_memory beyond that.
+boost::json::value parse_text(std::string_view text, boost::system::error_code& ec);
+
 struct Service {
     std::string name;
     std::string health;                // path of its health answer; empty: none is asked for
--- a/packages/creed/src/bundle.cpp
+++ b/packages/creed/src/bundle.cpp
@@ -1,10 +1,12 @@
 #include "creed/bundle.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/json.hpp>
 #include <cstdio>
 #include <set>
 
+#include "budget/limited_json.hpp"
 #include "pith/hash.hpp"
 
 namespace creed {
@@ -430,11 +432,24 @@
 
 }  // namespace
 
+namespace {
+constexpr std::size_t kParseLimit = 512 * 1024 * 1024;  // bytes, where nothing else is said
+std::atomic<std::size_t> most_parsed{kParseLimit};
+}  // namespace
+
+void parse_limit(std::size_t bytes) { most_parsed = bytes; }
+
+json::value parse_text(std::string_view text, boost::system::error_code& ec) {
+    return budget::parse_json(text, most_parsed, ec);
+}
+
 pith::Result<Bundle> read_bundle(const std::string& text, bool open) {
     auto broken = [](const std::string& m) { return pith::fail(Kind::bundle_broken, m); };
     if (text.size() > kMaxBundle) return broken("the bundle is over 8 MiB: drop unused routes or keys");
     boost::system::error_code ec;
-    const json::value v = json::parse(text, ec);
+    const json::value v = parse_text(text, ec);
+    if (ec == boost::system::errc::not_enough_memory)
+        return broken("it would take more memory than this machine has for it: split it, or drop unused routes or keys");
     if (ec) return broken("not JSON: " + ec.message());
     const std::string twice = TwiceFinder(text).find();
     if (!twice.empty()) return broken(twice + ": the field stands there twice: remove one");
--- a/packages/creed/src/openapi.cpp
+++ b/packages/creed/src/openapi.cpp
@@ -67,7 +67,7 @@
                                               int timeout_ms) {
     if (text.size() > kMaxBundle) return broken("the document is over 8 MiB: split it");
     boost::system::error_code ec;
-    const json::value v = json::parse(text, ec);
+    const json::value v = parse_text(text, ec);
     const json::object* o = ec ? nullptr : v.if_object();
     if (o == nullptr) return broken("not a JSON object: YAML documents must be turned into JSON first");
     const auto* ver = o->if_contains("openapi");
--- a/packages/creed/src/sign.cpp
+++ b/packages/creed/src/sign.cpp
@@ -44,7 +44,7 @@
 
 pith::Result<Bundle> read_told(const std::string& text) {
     boost::system::error_code ec;
-    json::value v = json::parse(text, ec);
+    json::value v = parse_text(text, ec);
     const json::object* o = ec ? nullptr : v.if_object();
     const json::value* b = o == nullptr ? nullptr : o->if_contains("bundle");
     if (b == nullptr && o != nullptr && o->if_contains("number") != nullptr) return read_bundle(text, true);
@@ -62,7 +62,7 @@
         return Signed{std::move(*b), {}, {}, text};
     }
     boost::system::error_code ec;
-    json::value v = json::parse(text, ec);
+    json::value v = parse_text(text, ec);
     const json::object* o = ec ? nullptr : v.if_object();
     if (o == nullptr)
         return fail(Kind::bundle_broken, "not one JSON object: send the file made by `helm sign`");
--- a/packages/span/src/common.hpp
+++ b/packages/span/src/common.hpp
@@ -6,6 +6,8 @@
 #include <csignal>
 #include <string>
 
+#include "budget/process_limits.hpp"
+#include "creed/bundle.hpp"
 #include "knell/knell.hpp"
 #include "pith/kernel.hpp"
 #include "pith/log.hpp"
@@ -17,10 +19,24 @@
 
 class Control : public pith::Service {
   public:
-    explicit Control(const pith::Settings& s)
-        : io(1), link(io, s.fleet, s.secret, s.name, s.frames == "plain"), desk(io), set(s), signals_(io) {}
+    /// `its_limits`: those of the process, where it has several of these.
+    explicit Control(const pith::Settings& s, std::shared_ptr<budget::ProcessLimits> its_limits = nullptr)
+        : io(1),
+          limits(its_limits ? std::move(its_limits) : process_limits(s)),
+          link(io, s.fleet, s.secret, s.name, s.frames == "plain", limits),
+          desk(io, limits, kControlDeskParts),
+          set(s),
+          signals_(io) {}
+    static std::shared_ptr<budget::ProcessLimits> process_limits(const pith::Settings& s) {
+        constexpr std::size_t kMegabyte = 1000 * 1000;
+        auto limits = std::make_shared<budget::ProcessLimits>(s.memory_mb * kMegabyte, s.descriptors);
+        creed::parse_limit(limits->parsing);
+        return limits;
+    }
+    static constexpr std::size_t kControlDeskParts = 3;  // of what operators may hold
 
     boost::asio::io_context io;
+    const std::shared_ptr<budget::ProcessLimits> limits;
     weft::Link link;
     weft::Desk desk;
     pith::Settings set;
--- a/packages/weft/include/weft/desk.hpp
+++ b/packages/weft/include/weft/desk.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "budget/process_limits.hpp"
 #include "pith/error.hpp"
 #include "pith/time.hpp"
 
@@ -29,7 +30,10 @@
     // is dropped.
     using Handler = std::function<void(const Ask&, Reply)>;
 
-    explicit Desk(boost::asio::io_context& io) : io_(io) {}
+    /// `parts`: the desk may hold such a part of what operators may, of `limits`; none: of this machine's.
+    explicit Desk(boost::asio::io_context& io, std::shared_ptr<budget::ProcessLimits> limits = nullptr,
+                  std::size_t parts = kDeskParts);
+    static constexpr std::size_t kDeskParts = 4;
     pith::Result<std::string> open(const std::string& address);
     void on(const std::string& method, const std::string& path, Handler h) {
         h_[method + " " + path] = std::move(h);
@@ -41,11 +45,16 @@
   private:
     struct Impl;
     boost::asio::io_context& io_;
+    std::shared_ptr<budget::ProcessLimits> limits_;
+    std::size_t parts_;
     pith::Micros reply_in_ = 10 * pith::kSecond;
     std::map<std::string, Handler> h_;
     std::shared_ptr<Impl> impl_;
 };
 
+/// Bounds what may lie unread or unsent in each connection that the acceptor takes.
+void bound_socket_buffers(boost::asio::ip::tcp::acceptor& acceptor);
+
 // One exchange with a deadline; the body of an answer is bounded.
 pith::Result<Answer> call(boost::asio::io_context& io, const std::string& address, Ask q,
                           pith::Micros deadline, boost::asio::yield_context y);
--- a/packages/weft/src/desk.cpp
+++ b/packages/weft/src/desk.cpp
@@ -7,6 +7,8 @@
 #include <boost/json.hpp>
 #include <optional>
 
+#include "budget/counted_body.hpp"
+#include "budget/holders.hpp"
 #include "pith/log.hpp"
 
 namespace weft {
@@ -19,7 +21,8 @@
 namespace {
 constexpr std::size_t kMaxAsk = 8 * 1024 * 1024 + 65536;
 constexpr std::size_t kMaxAnswer = 8 * 1024 * 1024;
-constexpr std::size_t kMaxSessions = 64;
+constexpr std::size_t kMaxHead = 16 * 1024;      // of a request, and of an answer
+constexpr std::size_t kMaxUnparsed = 64 * 1024;  // bytes read and not yet parsed, as trailers are
 constexpr auto kIdle = std::chrono::seconds(30);
 constexpr auto kDrainFor = std::chrono::milliseconds(500);
 constexpr int kMostInterim = 8;
@@ -35,6 +38,13 @@
     return {ip, static_cast<unsigned short>(std::stoi(address.substr(c + 1)))};
 }
 
+// The system doubles what it is told.
+void bound_socket_buffers(tcp::acceptor& acceptor) {
+    boost::system::error_code ec;
+    acceptor.set_option(asio::socket_base::receive_buffer_size(budget::kReceiveBuffer / 2), ec);
+    acceptor.set_option(asio::socket_base::send_buffer_size(budget::kSendBuffer / 2), ec);
+}
+
 Answer json_answer(int status, std::string body) {
     Answer a{http::status(status), 11};
     a.set(http::field::content_type, "application/json");
@@ -53,11 +63,18 @@
 }
 
 struct Desk::Impl : std::enable_shared_from_this<Desk::Impl> {
-    Impl(asio::io_context& io, std::map<std::string, Handler>& h) : io_(io), acceptor(io), h_(h) {}
+    Impl(asio::io_context& io, std::map<std::string, Handler>& h, std::shared_ptr<budget::ProcessLimits> limits,
+         std::size_t parts)
+        : io_(io),
+          acceptor(io),
+          h_(h),
+          limits_(std::move(limits)),
+          holders(limits_->operators, parts, parts) {}
     asio::io_context& io_;
     tcp::acceptor acceptor;
     std::map<std::string, Handler>& h_;
-    std::size_t open = 0;
+    std::shared_ptr<budget::ProcessLimits> limits_;
+    budget::Holders holders;
     bool closed = false;
     std::chrono::microseconds reply_in{0};
 
@@ -72,57 +89,98 @@
                 t.async_wait(y[ec]);
                 continue;
             }
-            if (open >= kMaxSessions) continue;  // closed at once
-            ++open;
             asio::spawn(
                 io_,
                 [me = shared_from_this(), s = std::move(s)](asio::yield_context z) mutable {
                     me->serve(std::move(s), z);
-                    --me->open;
                 },
                 asio::detached);
         }
     }
 
+    using Parser = http::request_parser<budget::CountedBody>;
+
     void serve(tcp::socket s, asio::yield_context y) {
         beast::tcp_stream st(std::move(s));
-        beast::flat_buffer buf;
-        for (;;) {
-            boost::system::error_code ec;
-            http::request_parser<http::string_body> p;
-            p.body_limit(kMaxAsk);
-            st.expires_after(kIdle);
-            http::async_read(st, buf, p, y[ec]);
+        beast::flat_buffer buf(kMaxUnparsed);
+        budget::CountedString* body = nullptr;  // of the request under way
+        budget::Holder holder(holders, [&] {
+            if (body != nullptr) body->clear();
+            st.close();
+        });
+        if (!holder.admitted()) return;  // closed at once
+        for (bool more = true; more;) {
+            Parser p;
+            body = &p.get().body();
+            body->counted_by(&holder);
+            Answer a;
+            bool head = false;
+            const auto ec = read(st, buf, p, holder, y);
             if (ec) {
-                Answer a;
-                if (!refusal_of(ec, &a)) return;
-                a.keep_alive(false);
-                st.expires_after(kIdle);
-                http::async_write(st, a, y[ec]);
-                break;
-            }
-            const Ask q = p.release();
-            Answer a = answer_to(q, y);
-            a.version(11);
-            a.keep_alive(q.keep_alive());
-            a.prepare_payload();
-            st.expires_after(kIdle);
-            http::response_serializer<http::string_body> sr(a);
-            if (q.method() == http::verb::head) {
-                sr.split(true);  // its body would be taken for the next answer
-                http::async_write_header(st, sr, y[ec]);
+                if (holder.evicted() || !refusal_of(ec, &a)) return;
+                more = false;
             } else {
-                http::async_write(st, sr, y[ec]);
+                Ask q;
+                q.base() = p.get().base();
+                q.body() = body->lend();
+                a = answer_to(q, y);
+                more = q.keep_alive();
+                head = q.method() == http::verb::head;
             }
-            if (ec || !q.keep_alive()) break;
+            body->clear();
+            body = nullptr;
+            a.keep_alive(more);
+            if (!write(st, std::move(a), head, holder, y)) return;
         }
+        holder.peer_waited_for();
         drain(st, y);
     }
 
+    static boost::system::error_code read(beast::tcp_stream& st, beast::flat_buffer& buf, Parser& p,
+                                          budget::Holder& holder, asio::yield_context y) {
+        boost::system::error_code ec;
+        p.header_limit(kMaxHead);
+        p.body_limit(kMaxAsk);
+        p.eager(true);
+        st.expires_after(kIdle);
+        holder.peer_waited_for();
+        while (!ec && !p.is_done()) holder.peer_moved(http::async_read_some(st, buf, p, y[ec]));
+        holder.peer_done();
+        return ec;
+    }
+
+    // False: the connection has ended.
+    static bool write(beast::tcp_stream& st, Answer a, bool head, budget::Holder& holder, asio::yield_context y) {
+        const bool more = a.keep_alive();
+        if (!holder.take(a.body().size()))
+            a = error_answer({Kind::crowded, "no room for the answer now: come back shortly"});
+        const std::size_t counted = a.body().size();
+        a.version(11);
+        a.keep_alive(more);
+        a.prepare_payload();
+        st.expires_after(kIdle);
+        boost::system::error_code ec;
+        http::response_serializer<http::string_body> sr(a);
+        holder.peer_waited_for();
+        if (head) {
+            sr.split(true);  // its body would be taken for the next answer
+            http::async_write_header(st, sr, y[ec]);
+        }
+        while (!head && !ec && !sr.is_done()) holder.peer_moved(http::async_write_some(st, sr, y[ec]));
+        holder.peer_done();
+        holder.give(counted);
+        return !ec;
+    }
+
     // Bytes that are no request, or too many of them. False: nobody is there to be answered.
     static bool refusal_of(const boost::system::error_code& ec, Answer* a) {
-        if (ec == http::error::body_limit || ec == http::error::header_limit) {
-            *a = error_answer({Kind::too_large, "over 8 MiB: send less"});
+        if (ec == http::error::body_limit || ec == http::error::header_limit ||
+            ec == http::error::buffer_overflow) {
+            *a = error_answer({Kind::too_large, "over 8 MiB, or over 16 KiB of fields: send less"});
+            return true;
+        }
+        if (ec == budget::no_room()) {
+            *a = error_answer({Kind::crowded, "no room for the call now: come back shortly"});
             return true;
         }
         const bool gone = ec == http::error::end_of_stream || ec == http::error::partial_message;
@@ -175,13 +233,19 @@
     }
 };
 
+Desk::Desk(asio::io_context& io, std::shared_ptr<budget::ProcessLimits> limits, std::size_t parts)
+    : io_(io),
+      limits_(limits ? std::move(limits) : std::make_shared<budget::ProcessLimits>(0, 0)),
+      parts_(parts) {}
+
 pith::Result<std::string> Desk::open(const std::string& address) {
-    impl_ = std::make_shared<Impl>(io_, h_);
+    impl_ = std::make_shared<Impl>(io_, h_, limits_, parts_);
     impl_->reply_in = std::chrono::microseconds(reply_in_);
     const auto ep = endpoint(address);
     boost::system::error_code ec;
     impl_->acceptor.open(ep.protocol(), ec);
     if (!ec) impl_->acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec) bound_socket_buffers(impl_->acceptor);
     if (!ec) impl_->acceptor.bind(ep, ec);
     if (!ec) impl_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec)
@@ -220,9 +284,10 @@
     if (unsent == beast::error::timeout || unsent == asio::error::operation_aborted) return lost(unsent);
     // Where the rest could not be sent the answer may be there all the same, as one that says that it is too
     // large.
-    beast::flat_buffer buf;
+    beast::flat_buffer buf(kMaxUnparsed);
     for (int i = 0; i < kMostInterim; ++i) {
         http::response_parser<http::string_body> p;
+        p.header_limit(kMaxHead);
         p.body_limit(kMaxAnswer);
         p.skip(q.method() == http::verb::head);
         http::async_read(st, buf, p, y[ec]);
