span: callers' heads, bodies, trailers and answers are held within their share (mime.crowd.*)

Seen: clients that don't behave took a proxy with 64 MB to 112 to 400 MiB, by trailers or chunk extensions without end, large and medium bodies that stop short (whole, in pieces, in chunks), heads of many small fields, requests behind a slow one, answers that are not read, servers' heads, trailers and answers; 1,200 connections took 1,222 of 400 descriptors; one body inside the limits took twice its size. Cause: Worker::serve read whole bodies of any number of callers into memory that nothing counted, and Relay::fill copied each once more. Now: CallerRequest reads a request within the callers' share. A body that is longer than a quarter of the room goes to its server as it comes, one at a time of a worker, and is sent once. Bodies are not copied for the send, answers not for the caller. A long answer waits at its server until there is room. Sockets' buffers are bounded.

--- a/packages/span/include/span/caller_connection.hpp
+++ b/packages/span/include/span/caller_connection.hpp
@@ -11,13 +11,21 @@
 #include <chrono>
 #include <memory>
 
+#include "budget/counted_string.hpp"
+#include "budget/holders.hpp"
 #include "span/caller_presence.hpp"
 
 namespace span {
 
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
   public:
-    explicit CallerConnection(boost::asio::ip::tcp::socket socket);
+    CallerConnection(boost::asio::ip::tcp::socket socket, budget::Holders& all);
+
+    /// Where what this connection holds is counted. Where it has to go, its socket is closed and held_body()
+    /// let go.
+    budget::Holder& holder() { return holder_; }
+    /// The body of the request under way; none: null.
+    void held_body(budget::CountedString* body) { body_ = body; }
 
     boost::beast::tcp_stream& stream() { return stream_; }
     boost::beast::flat_buffer& buffer() { return buffer_; }
@@ -43,12 +51,15 @@
     void poll_later();
     void end();
     bool full() const;
+    void let_go();
 
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
     boost::asio::steady_timer read_done_, poll_timer_;
     CallerPresence* presence_ = nullptr;
     bool reading_ = false, ended_ = false;
+    budget::CountedString* body_ = nullptr;
+    budget::Holder holder_;
 };
 
 }  // namespace span
--- a/packages/span/include/span/front.hpp
+++ b/packages/span/include/span/front.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "span/caller_connection.hpp"
+#include "span/caller_request.hpp"
 #include "span/relay.hpp"
 #include "weft/desk.hpp"
 
@@ -14,16 +15,26 @@
 
 class Worker {
   public:
-    explicit Worker(Hall& h) : relay(io, h), hall_(h), guard_(io.get_executor()) {}
+    explicit Worker(Hall& h)
+        : relay(io, h),
+          holders(h.limits->callers, h.threads, h.threads),
+          hall_(h),
+          guard_(io.get_executor()) {}
     void start();
     void stop();
     void serve(boost::asio::ip::tcp::socket s, boost::asio::yield_context y);
 
     boost::asio::io_context io{1};
     Relay relay;
+    budget::Holders holders;  ///< the callers' connections
 
   private:
-    void visit(Visit& v, CallerConnection& connection, Carried* c, boost::asio::yield_context y);
+    void visit(CallerRequest& request, CallerConnection& connection, Carried* c, boost::asio::yield_context y);
+    Reply answer(CallerRequest& request, CallerConnection& connection, CallerRequest::End end, bool* more,
+                 bool* caller_left, boost::asio::yield_context y);
+    void note(Carried& c, int status);
+    bool write(CallerConnection& connection, Reply& reply, bool head_only, boost::asio::yield_context y);
+    void drain(CallerConnection& connection, boost::asio::yield_context y);
     bool wait_turn(const Entry& e, tide::Id id, const WaiterPtr& w, CallerPresence& caller,
                    boost::asio::yield_context y);
     // Stands in S once more, for a visit whose pass went stale.
@@ -31,6 +42,7 @@
     Hall& hall_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
     std::thread thread_;
+    StreamPlace stream_place_;
 };
 
 // Accepts on one thread and hands sessions round the workers.
--- a/packages/span/include/span/hall.hpp
+++ b/packages/span/include/span/hall.hpp
@@ -13,6 +13,7 @@
 #include <thread>
 #include <unordered_map>
 
+#include "budget/process_limits.hpp"
 #include "span/caller_presence.hpp"
 #include "span/errand.hpp"
 #include "span/plan.hpp"
@@ -67,15 +68,17 @@
     void caller_left(CallerStep step) { ++callers_left[static_cast<std::size_t>(step)]; }
     std::atomic<std::uint64_t> visits{0}, answered{0}, sends{0}, own_retries{0}, caller_retries{0}, opened{0},
         proofs{0}, proof_failed{0}, reused{0}, unknown{0}, callers{0}, callers_refused{0}, wait_us{0},
-        probes{0}, listings{0};
+        probes{0}, listings{0}, no_room{0};
 };
 
 class Hall {
   public:
     Hall(std::string node, std::string locality, const Dialect& d = own_dialect(), const tide::Tuning& t = {},
-         const PoolTuning& p = {});
+         const PoolTuning& p = {}, std::shared_ptr<budget::ProcessLimits> its_limits = nullptr);
 
     const Dialect& dialect;
+    const std::shared_ptr<budget::ProcessLimits> limits;  ///< none are given: this machine's
+    std::size_t threads = 1;                              ///< workers, which share what callers may hold
 
     creed::PolicyPtr policy();
     void policy(creed::PolicyPtr p);
--- a/packages/span/include/span/relay.hpp
+++ b/packages/span/include/span/relay.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "budget/counted_body.hpp"
 #include "pith/log.hpp"
 #include "span/errand.hpp"
 #include "span/hall.hpp"
@@ -18,13 +19,33 @@
 namespace span {
 
 namespace http = boost::beast::http;
-using Visit = http::request<http::string_body>;
-using Reply = http::response<http::string_body>;
+using Visit = http::request<budget::CountedBody>;
+using Reply = http::response<budget::CountedBody>;
+
+/// The rest of a body that is too long to be held: it goes to a server as it comes.
+class RestOfBody {
+  public:
+    enum class Next { more, last, gone };
+    virtual ~RestOfBody() = default;
+    /// Of the whole body, in bytes; none: it comes in chunks.
+    virtual boost::optional<std::uint64_t> length() const = 0;
+    /// Puts the next bytes in place of those that stand in the request's body. gone: the caller has left, or
+    /// stopped sending.
+    virtual Next read(pith::Micros until, boost::asio::yield_context y) = 0;
+};
+
+/// The caller's side of a request that is carried out.
+struct CallerSide {
+    CallerPresence& presence;
+    budget::Source& memory;      ///< counts what is held for it
+    RestOfBody* rest = nullptr;  ///< none: the body is whole
+};
 
 struct Session {
     explicit Session(boost::asio::io_context& io) : stream(io) {}
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buf;
+    boost::beast::flat_buffer buf{kMostUnparsed};
+    static constexpr std::size_t kMostUnparsed = 32 * 1024;  // bytes, as heads and trailers are until their end
     pith::Micros idle_since = 0, idle_for = 0;
     bool echoes = false;   // the server promised to name the try in every answer
     std::string last_try;  // sent over it last
@@ -46,7 +67,7 @@
     // Waits for a new pass until then, and says whether it came; if not, it fills the refusal.
     using More = std::function<bool(pith::Micros until, Refusal*)>;
     using Allowed = std::function<bool(Refusal*)>;
-    void carry(const Plan& p, const Visit& v, CallerPresence& caller, const More& more, const Allowed& allowed,
+    void carry(const Plan& p, const Visit& v, const CallerSide& caller, const More& more, const Allowed& allowed,
                Carried* c, boost::asio::yield_context y);
     // Proves a server on a fresh session: 0 well, 1 failed, 2 leaving.
     std::uint8_t probe(const weft::ServerRec& r, boost::asio::yield_context y);
@@ -58,8 +79,11 @@
 
   private:
     // One send, as its answer is judged by it.
+    using Outbound = http::request<http::buffer_body>;
     struct Sent {
         const Plan& plan;
+        budget::Source& memory;
+        pith::Micros until = 0;
         bool whole = false;  // the whole request was written
         bool first = false;  // the first of its connection
     };
@@ -69,20 +93,27 @@
     bool open(Session& x, const Slot& s, pith::Micros until, std::uint8_t* verdict, boost::asio::yield_context y);
     std::unique_ptr<Session> session(const Slot& s, const Errand& errand, CallerPresence& caller,
                                      std::uint8_t* verdict, boost::asio::yield_context y);
-    Step exchange_for(CallerPresence& caller, Session& s, const Plan& p, const Slot& slot, const Visit& v,
+    Step exchange_for(const CallerSide& caller, Session& s, const Plan& p, const Slot& slot, const Visit& v,
                       pith::Micros until, Reply* r, bool* keep, boost::asio::yield_context y);
     void heed(Errand* errand, const CallerPresence& caller) const;
     std::unique_ptr<Session> idle(const Slot& s, const std::string& try_id);
     bool quiet(Session& s) const;
-    Step exchange(Session& s, const Plan& p, const Slot& slot, const Visit& v, pith::Micros until, Reply* r,
-                  bool* keep, boost::asio::yield_context y);
-    void fill(const Plan& p, const Slot& slot, const Visit& v, pith::Micros left, Visit* q) const;
+    Step exchange(const CallerSide& caller, Session& s, const Plan& p, const Slot& slot, const Visit& v,
+                  pith::Micros until, Reply* r, bool* keep, boost::asio::yield_context y);
+    void fill(const Plan& p, const Slot& slot, const Visit& v, const RestOfBody* rest, pith::Micros left,
+              Outbound* q) const;
+    bool send(const CallerSide& caller, Session& s, const Visit& v, Outbound& q, pith::Micros until,
+              boost::system::error_code& ec, boost::asio::yield_context y) const;
+    void read_one(Session& s, const Sent& sent, http::response_parser<budget::CountedBody>& parser,
+                  boost::system::error_code& ec, boost::asio::yield_context y);
+    bool room_for(http::response_parser<budget::CountedBody>& parser, const Sent& sent,
+                  boost::asio::yield_context y);
     Step read_answer(Session& s, const Sent& sent, Reply* r, bool* keep, boost::asio::yield_context y);
     Owner owner(const Reply& in, const Session& s, const Sent& sent) const;
     bool says_not_run(const Reply& in) const;
     bool misdirected(const Reply& in) const;
     Step judge(const Reply& in) const;
-    void hand_over(const Reply& in, bool bodyless, bool head_only, Reply* out) const;
+    void hand_over(Reply in, bool bodyless, bool head_only, Reply* out) const;
     static void idle_time(const Reply& in, Session* s);
     void wait_in_line(const Plan& p, pith::Micros until, CallerPresence& caller, boost::asio::yield_context y);
     void keep(const Slot& s, std::unique_ptr<Session> x);
--- a/packages/span/src/caller_connection.cpp
+++ b/packages/span/src/caller_connection.cpp
@@ -13,13 +13,16 @@
 constexpr std::size_t kPiece = 4096;
 // Bytes of next requests that are read ahead; what goes beyond waits in the system, which holds the caller
 // up.
-constexpr std::size_t kMostReadAhead = 65536;
+constexpr std::size_t kMostReadAhead = budget::kUnparsedBytes - kPiece;
 // Where no more is read ahead an end can only be looked for.
 constexpr auto kPollEvery = std::chrono::milliseconds(100);
 }  // namespace
 
-CallerConnection::CallerConnection(tcp::socket socket)
-    : stream_(std::move(socket)), read_done_(stream_.get_executor()), poll_timer_(stream_.get_executor()) {
+CallerConnection::CallerConnection(tcp::socket socket, budget::Holders& all)
+    : stream_(std::move(socket)),
+      read_done_(stream_.get_executor()),
+      poll_timer_(stream_.get_executor()),
+      holder_(all, [this] { let_go(); }) {
     Code ec;
     stream_.socket().set_option(tcp::no_delay(true), ec);
 }
@@ -103,6 +106,12 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+void CallerConnection::let_go() {
+    if (body_ != nullptr) body_->clear();
+    Code ec;
+    stream_.socket().close(ec);
+}
+
 void CallerConnection::close() {
     Code ec;
     presence_ = nullptr;
--- a/packages/span/src/front.cpp
+++ b/packages/span/src/front.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-constexpr std::uint64_t kMaxCallers = 4096;
-constexpr auto kBodyIn = std::chrono::seconds(15);
+constexpr std::size_t kOnTheirWay = 16;  // connections that were accepted and are not yet counted by a worker
+constexpr std::size_t kSmallAnswer = 16 * 1024;  // bytes; what lies unsent of a longer one is counted
 constexpr auto kWriteIn = std::chrono::seconds(10);
 constexpr auto kDrainFor = std::chrono::milliseconds(500);
 
@@ -33,26 +33,6 @@
     return i == v.end() ? std::string() : std::string(i->value());
 }
 
-std::size_t times(const Visit& v, beast::string_view n) {
-    const auto r = v.equal_range(n);
-    return static_cast<std::size_t>(std::distance(r.first, r.second));
-}
-
-// Shapes by which two parties could see two different visits are refused (RFC 9112 6.3, 11.2).
-std::string smuggling(const Visit& v, const http::request_parser<http::string_body>& p, const Dialect& d) {
-    if (v.version() != 11) return "HTTP/1.1 is needed";
-    if (times(v, "Host") != 1) return "exactly one Host is needed";
-    if (times(v, "Content-Length") > 1 || times(v, "Transfer-Encoding") > 1) return "one length only";
-    const bool te = v.find(http::field::transfer_encoding) != v.end();
-    if (te && v.find(http::field::content_length) != v.end())
-        return "Content-Length and Transfer-Encoding exclude each other";
-    if (te && !(p.chunked() && beast::iequals(v[http::field::transfer_encoding], "chunked")))
-        return "only chunked is taken";
-    for (const std::string* n : {&d.key, &d.try_id, &d.deadline, &d.attempt})
-        if (!n->empty() && times(v, *n) > 1) return *n + " stands there twice";
-    return {};
-}
-
 Reply refusal_reply(const Refusal& r, bool head, const Dialect& d) {
     Reply a{http::status(d.status_of(r.error.kind)), 11};
     a.set(http::field::content_type, "application/json");
@@ -67,18 +47,12 @@
     }
     if (!r.allow.empty()) a.set(http::field::allow, r.allow);
     if (r.error.kind == Kind::key_unknown) a.set(http::field::www_authenticate, d.key);
-    a.body() = refusal_json(r);
+    a.body() = budget::CountedString(refusal_json(r));
     a.content_length(a.body().size());
     if (head) a.body().clear();
     return a;
 }
 
-std::string size_text(std::uint64_t n) {
-    constexpr std::uint64_t kKi = 1024;
-    if (n >= kKi * kKi && n % (kKi * kKi) == 0) return std::to_string(n / kKi / kKi) + " MiB";
-    return n % kKi == 0 ? std::to_string(n / kKi) + " KiB" : std::to_string(n) + " bytes";
-}
-
 // The connection is closed however its session ends; a read that is under way then ends, too.
 class CloseAtEnd {
   public:
@@ -137,9 +111,10 @@
     return came && hall_.lobby.released(pith::mono_now(), e);
 }
 
-void Worker::visit(Visit& v, CallerConnection& connection, Carried* c, asio::yield_context y) {
+void Worker::visit(CallerRequest& request, CallerConnection& connection, Carried* c, asio::yield_context y) {
+    const Visit& v = request.message();
     CallerPresence caller([this](CallerStep step) { hall_.tolls.caller_left(step); });
-    if (relay.rules.watch_caller) connection.watch(&caller);
+    if (relay.rules.watch_caller) request.watch(&caller);
     Entry e;
     const Dialect& d = hall_.dialect;
     e.head = {std::string(v.method_string()), std::string(v.target()), field(v, d.key), field(v, d.try_id),
@@ -172,9 +147,10 @@
     c->trace.service = e.plan.service;
     c->trace.bundle = e.plan.bundle;
     if (go) {
-        const Plan first = e.plan;
+        Plan first = e.plan;
+        if (request.rest() != nullptr) first.tries = 1;  // what was sent on is not there to be sent again
         relay.carry(
-            first, v, caller,
+            first, v, {caller, connection.holder(), request.rest()},
             [&](Micros until, Refusal* r) {
                 const bool came = another_pass(&e, until, caller, y);
                 if (!came) *r = e.refusal;
@@ -194,117 +170,111 @@
         c->refusal = e.refusal;
     hall_.lobby.end(e, c->sent);
     --hall_.in_flight;
-    connection.unwatch();
+    request.unwatch();
     c->caller_left = caller.left();
 }
 
 void Worker::serve(tcp::socket sock, asio::yield_context y) {
-    const auto connection = std::make_shared<CallerConnection>(std::move(sock));
+    const auto connection = std::make_shared<CallerConnection>(std::move(sock), holders);
     const CloseAtEnd close_at_end(connection);
-    auto& st = connection->stream();
-    auto& buf = connection->buffer();
-    boost::system::error_code ec;
+    auto& holder = connection->holder();
+    if (!holder.admitted()) {
+        ++hall_.tolls.callers_refused;
+        return;
+    }
     for (bool more = true; more;) {
-        http::request_parser<http::string_body> p;
         const creed::PolicyPtr conf = hall_.policy();
         const creed::Limits limits = conf ? conf->bundle().limits : creed::Limits{};
-        p.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-        p.body_limit(limits.body_bytes);
-        p.eager(true);
         // Between requests the idle time, from a request's first byte on the head's.
         const auto idle_time = std::chrono::microseconds(std::max(limits.idle_time, limits.header_time));
-        if (!connection->wait_for_bytes(idle_time, y)) return;
-        st.expires_after(std::chrono::microseconds(limits.header_time));
-        http::async_read_header(st, buf, p, y[ec]);
-        Carried c;
-        bool head = false;
-        if (!ec) {
-            head = p.get().method() == http::verb::head;
-            const std::string bad = smuggling(p.get(), p, hall_.dialect);
-            const auto ex = p.get()[http::field::expect];
-            if (!bad.empty()) {
-                c.refusal.error = {Kind::bad_visit,
-                                   "not a sound HTTP/1.1 request (" + bad + "): mend the caller"};
-                more = false;
-            } else if (!ex.empty() && !beast::iequals(ex, "100-continue")) {
-                c.refusal.error = {Kind::expect_wrong, "only Expect: 100-continue is known: leave it out"};
-                more = false;
-            } else {
-                if (!ex.empty() && !p.is_done()) {
-                    http::response<http::empty_body> go{http::status::continue_, 11};
-                    st.expires_after(kWriteIn);
-                    http::async_write(st, go, y[ec]);
-                    if (ec) return;
-                }
-                st.expires_after(kBodyIn);
-                // What follows a chunked body is no part of the head: it names no try, key or host.
-                const bool trailers = p.chunked();
-                const http::request_header<> said = trailers ? p.get().base() : http::request_header<>{};
-                http::async_read(st, buf, p, y[ec]);
-                if (trailers) p.get().base() = said;
-            }
-        }
-        if (ec) {
-            if (ec == http::error::end_of_stream || ec == beast::error::timeout ||
-                ec == asio::error::connection_reset || ec == asio::error::operation_aborted ||
-                ec == http::error::partial_message || ec == asio::error::eof)
-                return;
-            if (ec == http::error::body_limit)
-                c.refusal.error = {Kind::too_large,
-                                   "the body is over " + size_text(limits.body_bytes) + ": send less"};
-            else if (ec == http::error::header_limit)
-                c.refusal.error = {Kind::head_too_large,
-                                   "the head is over " + size_text(limits.header_bytes) + ": send less"};
-            else
-                c.refusal.error = {Kind::bad_visit,
-                                   "not a sound HTTP/1.1 request (" + ec.message() + "): mend the caller"};
-            more = false;
-        }
-        if (more) {
-            Visit v = p.release();
-            more = v.keep_alive();
-            st.expires_never();
-            visit(v, *connection, &c, y);
-        }
-        if (hall_.stopping || !hall_.ready) more = false;  // the platform gives the caller another machine
-        Reply a = c.answered ? std::move(c.reply) : refusal_reply(c.refusal, head, hall_.dialect);
-        c.trace.status = a.result_int();
-        c.trace.end = c.answered ? "answered" : pith::kind_text(c.refusal.error.kind);
-        c.trace.ran_unknown = !c.answered && c.refusal.ran_unknown;
-        if (c.answered) {
-            ++hall_.tolls.answered;
-        } else {
-            ++hall_.tolls.by_kind[static_cast<std::size_t>(c.refusal.error.kind)];
-            if (c.refusal.ran_unknown) ++hall_.tolls.unknown;
-        }
-        pith::log_event(pith::Level::debug, "visit",
-                        {{"try", c.trace.try_id},
-                         {"customer", c.trace.customer},
-                         {"route", c.trace.route},
-                         {"end", c.trace.end},
-                         {"status", c.trace.status},
-                         {"server", c.trace.server},
-                         {"sends", c.trace.sends},
-                         {"queued_us", c.trace.queued},
-                         {"took_us", c.trace.took}});
-        if (!c.trace.try_id.empty()) hall_.traces.add(std::move(c.trace));
-        if (c.caller_left) return;  // nobody reads the answer
-        a.keep_alive(more);
-        st.expires_after(kWriteIn);
-        http::response_serializer<http::string_body> sr(a);
-        if (head) {
-            sr.split(true);
-            http::async_write_header(st, sr, y[ec]);
-        } else {
-            http::async_write(st, sr, y[ec]);
-        }
-        if (ec) return;
+        holder.peer_waited_for();
+        if (!connection->wait_for_bytes(idle_time, y) || holder.evicted()) return;
+        CallerRequest request(*connection, limits, hall_.dialect, stream_place_);
+        const auto end = request.read(y);
+        if (end == CallerRequest::End::gone) return;
+        bool caller_left = false;
+        Reply reply = answer(request, *connection, end, &more, &caller_left, y);
+        if (caller_left) return;  // nobody reads the answer
+        reply.keep_alive(more);
+        if (!write(*connection, reply, request.head_only(), y)) return;
+    }
+    drain(*connection, y);
+}
+
+// Carries the request out, and gives the answer. `more`: the connection goes on afterwards.
+Reply Worker::answer(CallerRequest& request, CallerConnection& connection, CallerRequest::End end, bool* more,
+                     bool* caller_left, asio::yield_context y) {
+    Carried c;
+    if (end == CallerRequest::End::ready) {
+        *more = request.message().keep_alive();
+        connection.stream().expires_never();
+        visit(request, connection, &c, y);
+    } else {
+        c.refusal = request.refusal();
+        *more = false;
+    }
+    if (hall_.stopping || !hall_.ready) *more = false;  // the platform gives the caller another machine
+    Reply reply = c.answered ? std::move(c.reply) : refusal_reply(c.refusal, request.head_only(), hall_.dialect);
+    *caller_left = c.caller_left;
+    note(c, static_cast<int>(reply.result_int()));
+    return reply;
+}
+
+// For metrics, the log and `helm explain`.
+void Worker::note(Carried& c, int status) {
+    c.trace.status = status;
+    c.trace.end = c.answered ? "answered" : pith::kind_text(c.refusal.error.kind);
+    c.trace.ran_unknown = !c.answered && c.refusal.ran_unknown;
+    if (c.answered) {
+        ++hall_.tolls.answered;
+    } else {
+        ++hall_.tolls.by_kind[static_cast<std::size_t>(c.refusal.error.kind)];
+        if (c.refusal.ran_unknown) ++hall_.tolls.unknown;
     }
-    connection->stop_reading(y);
+    pith::log_event(pith::Level::debug, "visit",
+                    {{"try", c.trace.try_id},
+                     {"customer", c.trace.customer},
+                     {"route", c.trace.route},
+                     {"end", c.trace.end},
+                     {"status", c.trace.status},
+                     {"server", c.trace.server},
+                     {"sends", c.trace.sends},
+                     {"queued_us", c.trace.queued},
+                     {"took_us", c.trace.took}});
+    if (!c.trace.try_id.empty()) hall_.traces.add(std::move(c.trace));
+}
+
+// False: the connection has ended.
+bool Worker::write(CallerConnection& connection, Reply& reply, bool head_only, asio::yield_context y) {
+    auto& st = connection.stream();
+    auto& holder = connection.holder();
+    const std::size_t size = reply.body().size();
+    const budget::Charge unsent(holder, size > kSmallAnswer ? std::min(size, budget::kSendBuffer) : 0);
+    if (!unsent) return false;
+    connection.held_body(&reply.body());
+    boost::system::error_code ec;
+    http::response_serializer<budget::CountedBody> sr(reply);
+    st.expires_after(kWriteIn);
+    holder.peer_waited_for();
+    if (head_only) {
+        sr.split(true);
+        http::async_write_header(st, sr, y[ec]);
+    }
+    while (!head_only && !ec && !sr.is_done()) holder.peer_moved(http::async_write_some(st, sr, y[ec]));
+    holder.peer_done();
+    connection.held_body(nullptr);
+    return !ec && !holder.evicted();
+}
+
+// What the caller still sends is read for a moment, lest a reset eat our answer.
+void Worker::drain(CallerConnection& connection, asio::yield_context y) {
+    auto& st = connection.stream();
+    connection.stop_reading(y);
+    boost::system::error_code ec;
     st.socket().shutdown(tcp::socket::shutdown_send, ec);
-    // What the caller still sends is read for a moment, lest a reset eat our answer.
-    std::array<char, 16384> sink;
+    std::array<char, 4096> sink;
     st.expires_after(kDrainFor);
+    connection.holder().peer_waited_for();
     while (!ec) st.async_read_some(asio::buffer(sink), y[ec]);
 }
 
@@ -316,6 +286,7 @@
     boost::system::error_code ec;
     acceptor_.open(ep.protocol(), ec);
     if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec) weft::bound_socket_buffers(acceptor_);
     if (!ec) acceptor_.bind(ep, ec);
     if (!ec) acceptor_.listen(512, ec);
     if (ec)
@@ -337,7 +308,7 @@
             });
             return;
         }
-        if (hall_.tolls.callers >= kMaxCallers) {
+        if (hall_.tolls.callers >= hall_.limits->callers.connections.limit() + kOnTheirWay) {
             ++hall_.tolls.callers_refused;  // closed at once, nothing was read
         } else {
             ++hall_.tolls.callers;
--- a/packages/span/src/hall.cpp
+++ b/packages/span/src/hall.cpp
@@ -33,8 +33,9 @@
 }
 
 Hall::Hall(std::string node, std::string locality, const Dialect& d, const tide::Tuning& t,
-           const PoolTuning& p)
+           const PoolTuning& p, std::shared_ptr<budget::ProcessLimits> its_limits)
     : dialect(d),
+      limits(its_limits ? std::move(its_limits) : std::make_shared<budget::ProcessLimits>(0, 0)),
       basin(t),
       pool(std::move(node), std::move(locality), p),
       lobby(
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -52,11 +52,14 @@
 
 class Proxy : public Daemon {
   public:
-    Proxy(pith::Kernel& k, const pith::Settings& s, const Dialect& d = own_dialect())
+    Proxy(pith::Kernel& k, const pith::Settings& s, const std::shared_ptr<budget::ProcessLimits>& limits,
+          const Dialect& d = own_dialect())
         : kernel_(k),
           set_(s),
-          hall_(s.name, s.locality, d, tide_tuning(s.bounds), pool_tuning(s.bounds)),
-          farewell_(s.bounds.grace_us) {}
+          hall_(s.name, s.locality, d, tide_tuning(s.bounds), pool_tuning(s.bounds), limits),
+          farewell_(s.bounds.grace_us) {
+        hall_.threads = static_cast<std::size_t>(std::max(1, s.threads));
+    }
 
     void start() override {
         ctl_ = kernel_.find<Control>("control");
@@ -86,7 +89,7 @@
         auto b = ctl_->desk.open(set_.operator_address);
         if (!b) return tl::unexpected<pith::Error>(b.error());
         if (!set_.ready_address.empty()) {
-            ready_desk_ = std::make_unique<weft::Desk>(ctl_->io);
+            ready_desk_ = std::make_unique<weft::Desk>(ctl_->io, ctl_->limits, Control::kControlDeskParts);
             ready_on(*ready_desk_);
             auto r = ready_desk_->open(set_.ready_address);
             if (!r) return tl::unexpected<pith::Error>(r.error());
@@ -529,7 +532,8 @@
 
 int run_proxy(const pith::Settings& s) {
     pith::Kernel k;
-    return run_daemon(k, std::make_shared<Control>(s), "proxy", std::make_shared<Proxy>(k, s));
+    auto control = std::make_shared<Control>(s);
+    return run_daemon(k, control, "proxy", std::make_shared<Proxy>(k, s, control->limits));
 }
 
 int run_resident(const Resident& r) {
@@ -540,7 +544,7 @@
     std::shared_ptr<Daemon> keeper;
     std::thread t;
     if (r.keeper) {
-        kctl = std::make_shared<Control>(*r.keeper);
+        kctl = std::make_shared<Control>(*r.keeper, ctl->limits);
         kctl->hup = [] {};
         keeper = make_keeper(kk, *r.keeper, true);
         t = std::thread([&] {
@@ -549,7 +553,7 @@
             if (code != 0) log_event(Level::error, "keeper_ended", {{"code", code}});
         });
     }
-    const int code = run_daemon(k, ctl, "proxy", std::make_shared<Proxy>(k, r.proxy, *r.dialect));
+    const int code = run_daemon(k, ctl, "proxy", std::make_shared<Proxy>(k, r.proxy, ctl->limits, *r.dialect));
     if (t.joinable()) {
         kctl->io.stop();
         t.join();
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::size_t kMaxAnswer = 4 * 1024 * 1024;
+constexpr std::size_t kShortAnswer = 64 * 1024;  // bytes; for a longer one room is taken before it is read
+constexpr Micros kRoomAgain = 10 * pith::kMilli;  // between looks for it
 constexpr std::size_t kKeepSessions = 4;  // idle ones to one server, of one worker
 constexpr Micros kIdleFor = 20 * pith::kSecond;
 constexpr Micros kProveIn = 1500 * pith::kMilli;
@@ -98,7 +100,10 @@
     until = std::min(until, pith::mono_now() + kProveIn);
     give(x, until);
     ++hall_.tolls.opened;
-    x.stream.async_connect(weft::endpoint(s.address), y[ec]);
+    const auto server = weft::endpoint(s.address);
+    x.stream.socket().open(server.protocol(), ec);
+    if (!ec) x.stream.socket().set_option(asio::socket_base::receive_buffer_size(budget::kReceiveBuffer / 2), ec);
+    x.stream.async_connect(server, y[ec]);
     if (ec) return false;
     x.stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
     x.idle_for = kIdleFor;
@@ -158,7 +163,8 @@
 
 // The client's request as this server is to see it: the key stays here, the customer's name goes in its
 // place.
-void Relay::fill(const Plan& p, const Slot& slot, const Visit& v, Micros left, Visit* q) const {
+void Relay::fill(const Plan& p, const Slot& slot, const Visit& v, const RestOfBody* rest, Micros left,
+                 Outbound* q) const {
     const Dialect& d = hall_.dialect;
     q->method_string(v.method_string());
     q->target(v.target());
@@ -170,27 +176,59 @@
     q->set(d.try_id, p.try_id);
     q->set(d.deadline, std::to_string(left / pith::kMilli));
     if (!d.expect.empty()) q->set(d.expect, slot.instance);
-    q->body() = v.body();
     const bool has_body =
         !v.body().empty() || v.method() == http::verb::post || v.method() == http::verb::put;
-    if (has_body) q->content_length(v.body().size());
+    if (rest == nullptr) {
+        if (has_body) q->content_length(v.body().size());
+    } else if (const auto length = rest->length()) {
+        q->content_length(*length);
+    } else {
+        q->chunked(true);
+    }
 }
 
-Step Relay::exchange(Session& s, const Plan& p, const Slot& slot, const Visit& v, Micros until, Reply* r,
-                     bool* keep, asio::yield_context y) {
+// The bytes that stand in the request's body now; they are only read.
+namespace {
+void put_body(const Visit& v, bool more, http::buffer_body::value_type* body) {
+    body->data = v.body().empty() ? nullptr : const_cast<char*>(v.body().text().data());
+    body->size = v.body().size();
+    body->more = more;
+}
+}  // namespace
+
+// False: the caller did not send the rest.
+bool Relay::send(const CallerSide& caller, Session& s, const Visit& v, Outbound& q, Micros until,
+                 boost::system::error_code& ec, asio::yield_context y) const {
+    http::request_serializer<http::buffer_body> serializer(q);
+    put_body(v, caller.rest != nullptr, &q.body());
+    for (;;) {
+        http::async_write(s.stream, serializer, y[ec]);
+        if (ec == http::error::need_buffer) ec = {};
+        if (ec || !q.body().more) return true;
+        const auto next = caller.rest->read(until, y);
+        if (next == RestOfBody::Next::gone) return false;
+        put_body(v, next == RestOfBody::Next::more, &q.body());
+    }
+}
+
+Step Relay::exchange(const CallerSide& caller, Session& s, const Plan& p, const Slot& slot, const Visit& v,
+                     Micros until, Reply* r, bool* keep, asio::yield_context y) {
     *keep = false;
     const Micros left = until - pith::mono_now();
     if (left <= 0) return Step::unsent;
-    Visit q;
-    fill(p, slot, v, left, &q);
+    Outbound q;
+    fill(p, slot, v, caller.rest, left, &q);
     boost::system::error_code ec;
     give(s, until);
     if (p.write) hall_.tries.sent(p.customer, p.try_id);  // before its first byte is handed over
-    Sent sent{p, false, s.sends == 0};
+    Sent sent{p, caller.memory, until, false, s.sends == 0};
     ++s.sends;
     s.last_try = p.try_id;
     ++hall_.tolls.sends;
-    http::async_write(s.stream, q, y[ec]);
+    if (!send(caller, s, v, q, until, ec, y)) {
+        caller.presence.leave();
+        return Step::abandoned;
+    }
     if (ec == beast::error::timeout) return Step::late;
     if (ec == asio::error::operation_aborted) return Step::lost;  // given up
     sent.whole = !ec;  // else the server may still have said something before it closed
@@ -203,11 +241,12 @@
     bool surplus = false;
     for (int i = 0; i < kMostAnswers; ++i) {
         boost::system::error_code ec;
-        http::response_parser<http::string_body> rp;
+        http::response_parser<budget::CountedBody> rp;
         rp.body_limit(kMaxAnswer);
         rp.skip(head_only);
-        http::async_read(s.stream, s.buf, rp, y[ec]);
+        read_one(s, sent, rp, ec, y);
         if (ec == beast::error::timeout) return Step::late;
+        if (ec == budget::no_room()) return given_up_ ? Step::lost : Step::late;
         if (ec) return broken_off(ec) || !sent.whole ? Step::lost : Step::garbled;
         const int st = rp.get().result_int();
         if (st < kLowestStatus || st == 101) return Step::garbled;
@@ -217,7 +256,7 @@
         const bool framed = bodyless || rp.chunked() || rp.content_length();
         if (!framed && rules.need_length) return Step::garbled;
         const bool lasting = rp.keep_alive();
-        const Reply in = rp.release();
+        Reply in = rp.release();
         const Owner o = owner(in, s, sent);
         if (o == Owner::another_try) {
             surplus = true;  // to an earlier request, come late: ours is still to come (docs/design.md 7.6)
@@ -231,12 +270,41 @@
         const bool leaves = !hall_.dialect.leaving.empty() && in.find(hall_.dialect.leaving) != in.end();
         const bool named_always = s.echoes || !rules.reuse_only_echoing;
         *keep = lasting && sent.whole && clean && sure && !leaves && named_always;
-        if (step == Step::answered) hand_over(in, bodyless, head_only, r);
+        if (step == Step::answered) hand_over(std::move(in), bodyless, head_only, r);
         return step;
     }
     return Step::garbled;
 }
 
+// One message. Where it is long its room is taken before it is read: until there is some, it waits at the server.
+void Relay::read_one(Session& s, const Sent& sent, http::response_parser<budget::CountedBody>& parser,
+                     boost::system::error_code& ec, asio::yield_context y) {
+    parser.get().body().counted_by(&sent.memory);
+    parser.eager(true);
+    bool room = false;
+    while (!ec && !parser.is_done()) {
+        http::async_read_some(s.stream, s.buf, parser, y[ec]);
+        if (ec || parser.is_done() || room || !parser.is_header_done()) continue;
+        const bool is_long = parser.content_length().value_or(0) > kShortAnswer;
+        if (!is_long && parser.get().body().size() <= kShortAnswer) continue;
+        room = room_for(parser, sent, y);
+        if (!room) ec = budget::no_room();
+    }
+}
+
+bool Relay::room_for(http::response_parser<budget::CountedBody>& parser, const Sent& sent,
+                     asio::yield_context y) {
+    const std::uint64_t length = parser.content_length().value_or(kMaxAnswer);
+    while (!parser.get().body().reserve(static_cast<std::size_t>(std::min<std::uint64_t>(length, kMaxAnswer)))) {
+        const Micros now = pith::mono_now();
+        if (now >= sent.until || given_up_) return false;
+        asio::steady_timer timer(io_, std::chrono::microseconds(std::min(kRoomAgain, sent.until - now)));
+        boost::system::error_code ec;
+        timer.async_wait(y[ec]);
+    }
+    return true;
+}
+
 bool Relay::says_not_run(const Reply& in) const {
     const std::string& mark = hall_.dialect.not_run;
     return !mark.empty() && in.find(mark) != in.end();
@@ -278,13 +346,13 @@
     return Step::answered;
 }
 
-void Relay::hand_over(const Reply& in, bool bodyless, bool head_only, Reply* out) const {
+void Relay::hand_over(Reply in, bool bodyless, bool head_only, Reply* out) const {
     *out = Reply{};
     out->version(11);
     out->result(in.result_int());  // result() is 0 for a status that the library has no name for
     out->reason(in.reason());
     copy_fields(in, out);
-    out->body() = in.body();
+    out->body() = std::move(in.body());
     const auto length = in.find(http::field::content_length);
     if (!bodyless)
         out->content_length(out->body().size());
@@ -318,15 +386,15 @@
 }
 
 // A read ends with its caller; a write that was begun goes on, since breaking it off would leave it half done.
-Step Relay::exchange_for(CallerPresence& caller, Session& s, const Plan& p, const Slot& slot, const Visit& v,
+Step Relay::exchange_for(const CallerSide& caller, Session& s, const Plan& p, const Slot& slot, const Visit& v,
                          Micros until, Reply* r, bool* keep, asio::yield_context y) {
     std::function<void()> break_off;
     if (!p.write) break_off = [&s] { s.stream.cancel(); };
-    const CallerPresence::Step step(caller, CallerStep::answer, std::move(break_off));
+    const CallerPresence::Step step(caller.presence, CallerStep::answer, std::move(break_off));
     busy_.insert(&s);
-    const Step ended = exchange(s, p, slot, v, until, r, keep, y);
+    const Step ended = exchange(caller, s, p, slot, v, until, r, keep, y);
     busy_.erase(&s);
-    const bool broken_off_here = ended == Step::lost && !p.write && caller.left();
+    const bool broken_off_here = ended == Step::lost && !p.write && caller.presence.left();
     return broken_off_here ? Step::abandoned : ended;
 }
 
@@ -336,7 +404,7 @@
     if (caller.left()) errand->caller_left();
 }
 
-void Relay::carry(const Plan& p, const Visit& v, CallerPresence& caller, const More& more, const Allowed& allowed,
+void Relay::carry(const Plan& p, const Visit& v, const CallerSide& caller, const More& more, const Allowed& allowed,
                   Carried* c, asio::yield_context y) {
     Errand e(p, hall_.pool,
              [this, &p] { return p.customer.empty() || hall_.basin.draw(pith::mono_now(), p.customer); });
@@ -344,19 +412,19 @@
     e.rules = rules;
     e.slot_free = [this](const std::string& s) { hall_.slot_free(s); };
     const Micros began = pith::mono_now();
-    heed(&e, caller);
+    heed(&e, caller.presence);
     Do d = e.start(began);
     while (d != Do::answer && d != Do::refuse) {
         if (d == Do::wait) {
-            wait_in_line(p, e.wait_until(pith::mono_now()), caller, y);
-            heed(&e, caller);
+            wait_in_line(p, e.wait_until(pith::mono_now()), caller.presence, y);
+            heed(&e, caller.presence);
             d = e.again(pith::mono_now());
             continue;
         }
         if (d == Do::pass) {
             Refusal r;
             const bool came = more(e.pass_until(), &r);
-            heed(&e, caller);
+            heed(&e, caller.presence);
             d = came ? e.passed(pith::mono_now()) : e.no_pass(r);
             continue;
         }
@@ -364,8 +432,8 @@
         c->trace.server = s.address;
         c->trace.instance = s.instance;
         std::uint8_t verdict = 0;
-        auto x = session(s, e, caller, &verdict, y);
-        heed(&e, caller);
+        auto x = session(s, e, caller.presence, &verdict, y);
+        heed(&e, caller.presence);
         if (!e.opened(pith::mono_now(), x != nullptr, verdict, &d)) {
             if (x) keep(s, std::move(x));  // unused, and still sound
             continue;
@@ -374,7 +442,7 @@
         note_listing_age(s);
         bool sound = false;
         const Step st = exchange_for(caller, *x, p, s, v, e.until(), &c->reply, &sound, y);
-        heed(&e, caller);
+        heed(&e, caller.presence);
         if (sound) keep(s, std::move(x));
         if (st == Step::answered) {
             const std::string& lv = hall_.dialect.leaving;
