--- a/packages/pith/include/pith/hash.hpp
+++ b/packages/pith/include/pith/hash.hpp
@@ -13,7 +13,8 @@
 bool from_hex(std::string_view s, std::string* out);
 std::string keyed_tag(std::string_view key, std::string_view s);  // 16 bytes
 bool same_tag(std::string_view a, std::string_view b);            // constant time
-std::uint64_t random64();  // from the system's source of randomness
+std::uint64_t random64();     // from the system's source of randomness
+std::string random_secret();  // 32 bytes, from there
 
 // splitmix64: one seed, one sequence.
 class Rng {
--- a/packages/pith/src/hash.cpp
+++ b/packages/pith/src/hash.cpp
@@ -33,6 +33,13 @@
     return v;
 }
 
+std::string random_secret() {
+    constexpr std::size_t kSecretBytes = 32;
+    std::string secret(kSecretBytes, '\0');
+    randombytes_buf(&secret[0], secret.size());
+    return secret;
+}
+
 std::string to_hex(std::string_view s) {
     static const char* hex = "0123456789abcdef";
     std::string o;
--- a/packages/span/include/span/tries.hpp
+++ b/packages/span/include/span/tries.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "pith/hash.hpp"
 #include "pith/time.hpp"
 
 namespace span {
@@ -25,18 +26,27 @@
     void not_run(const std::string& customer, const std::string& id);
 
   private:
+    /// Stands for a customer's try, of whatever length its id is; nobody outside can find two that share one.
+    struct Digest {
+        std::uint64_t high = 0, low = 0;
+        bool operator==(const Digest& other) const { return high == other.high && low == other.low; }
+    };
+    struct DigestHash {
+        std::size_t operator()(const Digest& digest) const { return digest.low; }
+    };
     struct One {
         pith::Micros at;
         bool sent;
     };
     struct Shard {
         std::mutex m;
-        std::unordered_map<std::string, One> t;
-        std::deque<std::pair<pith::Micros, std::string>> order;
+        std::unordered_map<Digest, One, DigestHash> t;
+        std::deque<std::pair<pith::Micros, Digest>> order;
     };
-    static std::string key(const std::string& c, const std::string& id) { return c + '\n' + id; }
-    Shard& shard(const std::string& k);
+    Digest digest(const std::string& customer, const std::string& id) const;
+    Shard& shard(const Digest& of) { return s_[of.high % kShards]; }
     std::array<Shard, kShards> s_;
+    const std::string secret_ = pith::random_secret();
 };
 
 }  // namespace span
--- a/packages/span/src/tries.cpp
+++ b/packages/span/src/tries.cpp
@@ -1,15 +1,21 @@
 #include "span/tries.hpp"
 
-#include "pith/hash.hpp"
+#include <cstring>
 
 namespace span {
 
 using Lock = std::lock_guard<std::mutex>;
 
-Tries::Shard& Tries::shard(const std::string& k) { return s_[pith::hash64(k) % kShards]; }
+Tries::Digest Tries::digest(const std::string& customer, const std::string& id) const {
+    const std::string tag = pith::keyed_tag(secret_, customer + '\n' + id);
+    Digest of;
+    std::memcpy(&of.high, tag.data(), sizeof of.high);
+    std::memcpy(&of.low, tag.data() + sizeof of.high, sizeof of.low);
+    return of;
+}
 
 bool Tries::begin(pith::Micros now, const std::string& customer, const std::string& id) {
-    const std::string k = key(customer, id);
+    const Digest k = digest(customer, id);
     Shard& s = shard(k);
     Lock l(s.m);
     while (!s.order.empty() && (s.order.size() >= kMost || now - s.order.front().first > kKeep)) {
@@ -23,7 +29,7 @@
 }
 
 void Tries::sent(const std::string& customer, const std::string& id) {
-    const std::string k = key(customer, id);
+    const Digest k = digest(customer, id);
     Shard& s = shard(k);
     Lock l(s.m);
     auto i = s.t.find(k);
@@ -31,7 +37,7 @@
 }
 
 void Tries::let_go(const std::string& customer, const std::string& id) {
-    const std::string k = key(customer, id);
+    const Digest k = digest(customer, id);
     Shard& s = shard(k);
     Lock l(s.m);
     auto i = s.t.find(k);
@@ -39,7 +45,7 @@
 }
 
 void Tries::not_run(const std::string& customer, const std::string& id) {
-    const std::string k = key(customer, id);
+    const Digest k = digest(customer, id);
     Shard& s = shard(k);
     Lock l(s.m);
     s.t.erase(k);
