--- a/packages/budget/include/budget/holders.hpp
+++ b/packages/budget/include/budget/holders.hpp
@@ -37,10 +37,14 @@
 
     bool take(std::size_t amount) override;
     void give(std::size_t amount) override;
+    /// For what is of use and not needed: leaves half of the room, and makes nobody go.
+    bool take_spare(std::size_t amount);
     /// Bytes.
     std::size_t held() const { return held_; }
     /// Bytes that all of them may hold together.
     std::size_t room() const;
+    /// So much of it is taken that what is long should wait before any of it is held.
+    bool pressed() const;
 
     /// From now on the peer is waited for: it is to send, or to take what it is sent.
     void peer_waited_for(pith::Micros now = pith::mono_now());
--- a/packages/budget/include/budget/process_limits.hpp
+++ b/packages/budget/include/budget/process_limits.hpp
@@ -36,9 +36,13 @@
 
   public:
     const std::size_t parsing;  ///< bytes that one parsed JSON text may take
-    Account bytes;              ///< of all shares
-    Account connections;        ///< of all shares
-    Share callers;              ///< with what is held for them at servers
+    /// Connections that may wait to be accepted, at the callers' port; unread bytes lie in them, too.
+    const int callers_waiting;
+    const int others_waiting;        ///< the same at each other port
+    const std::size_t idle_servers;  ///< connections to servers that are kept for later requests
+    Account bytes;                   ///< of all shares
+    Account connections;             ///< of all shares
+    Share callers;                   ///< with what is held for them at servers
     Share operators;
     Share nodes;
 };
--- a/packages/budget/src/holders.cpp
+++ b/packages/budget/src/holders.cpp
@@ -23,6 +23,12 @@
     return true;
 }
 
+bool Holder::take_spare(std::size_t amount) {
+    if (evicted_ || !all_.bytes_.take_below(all_.bytes_.limit() / 2, amount)) return false;
+    held_ += amount;
+    return true;
+}
+
 // What one that had to go held was given back at once.
 void Holder::give(std::size_t amount) {
     if (evicted_) return;
@@ -42,6 +48,8 @@
 
 std::size_t Holder::room() const { return all_.bytes_.limit(); }
 
+bool Holder::pressed() const { return all_.bytes_.held() > all_.bytes_.limit() / 8; }
+
 Micros Holder::lag(Micros now) const { return waits_ ? now - since_ : 0; }
 
 void Holder::evict() {
--- a/packages/budget/src/process_limits.cpp
+++ b/packages/budget/src/process_limits.cpp
@@ -16,12 +16,14 @@
 constexpr std::size_t kForNodes = 10, kForNodesConnections = 6;
 constexpr std::size_t kForAll = kForCallers + kForOperators + kForNodes;
 constexpr std::size_t kForParsing = 15;  // of the process itself
+constexpr std::size_t kForWaiting = 4;   // at the callers' port
 // What a connection takes beside what it is counted to hold, in bytes. A caller's has one to a server.
 constexpr std::size_t kOfCaller = kConnectionBytes + 2 * kReceiveBuffer;
 constexpr std::size_t kOfOperator = kConnectionBytes + kReceiveBuffer;
 constexpr std::size_t kOfNode = 4 * 1024 + kReceiveBuffer;
 // Sixteenths of the descriptors. The rest is files, timers and ports.
-constexpr std::size_t kCallersOf16 = 6, kServersOf16 = 4, kOperatorsOf16 = 2, kNodesOf16 = 3;
+constexpr std::size_t kCallersOf16 = 5, kServersOf16 = 5, kOperatorsOf16 = 2, kNodesOf16 = 3;
+constexpr std::size_t kMostWaiting = 512, kLeastWaiting = 16, kOthersOfWaiting = 4;
 constexpr std::size_t kAllOf16 = kCallersOf16 + kServersOf16 + kOperatorsOf16 + kNodesOf16;
 constexpr std::size_t kMostCallers = 4096, kMostOperators = 256, kMostNodes = 4096;
 constexpr std::size_t kLeastConnections = 4;
@@ -39,6 +41,11 @@
 
 std::size_t hundredths(std::size_t memory, std::size_t share) { return memory / 100 * share; }
 
+int waiting_of(std::size_t memory, std::size_t part) {
+    const std::size_t waiting = hundredths(memory, kForWaiting) / kReceiveBuffer / part;
+    return static_cast<int>(std::clamp(waiting, kLeastWaiting, kMostWaiting));
+}
+
 std::size_t connections_of(std::size_t memory, std::size_t each, std::size_t descriptors, std::size_t most) {
     return std::max(kLeastConnections, std::min({memory / each, descriptors, most}));
 }
@@ -51,6 +58,9 @@
 
 ProcessLimits::ProcessLimits(const Told& told)
     : parsing(hundredths(told.memory, kForParsing)),
+      callers_waiting(waiting_of(told.memory, 1)),
+      others_waiting(waiting_of(told.memory, kOthersOfWaiting)),
+      idle_servers(told.descriptors * kServersOf16 / 16),
       bytes(hundredths(told.memory, kForAll)),
       connections(told.descriptors * kAllOf16 / 16),
       callers(hundredths(told.memory, kForCallers),
--- a/packages/budget/test/holders.cpp
+++ b/packages/budget/test/holders.cpp
@@ -110,6 +110,16 @@
     BOOST_TEST(small.holder.take(kSmallHolder));
 }
 
+BOOST_AUTO_TEST_CASE(what_is_not_needed_leaves_half_of_the_room) {
+    Port port;
+    Connection lags(port), asking(port);
+    BOOST_TEST(lags.holder.take(1000));
+    lags.lags(kSecond);
+    BOOST_TEST(asking.holder.take_spare(kLimit / 2 - 1000));
+    BOOST_TEST(!asking.holder.take_spare(1));
+    BOOST_TEST(!lags.closed);
+}
+
 BOOST_AUTO_TEST_CASE(connections_beyond_the_limit_take_the_place_of_those_that_lag) {
     Port port;
     std::vector<std::unique_ptr<Connection>> open;
--- a/packages/mime/test/crowd.cpp
+++ b/packages/mime/test/crowd.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE mime_crowd
 #include "mime/crowd.hpp"
 
+#include <signal.h>
 #include <unistd.h>
 
 #include <boost/json.hpp>
@@ -121,6 +122,15 @@
                                    << tally.last_received);
     }
 
+    /// The proxy stands still while the crowd comes.
+    void meets_standing_still(const std::vector<CrowdGroup>& groups) {
+        fleet_.kill("p1", SIGSTOP);
+        crowds_.push_back(std::make_unique<mime::Crowd>(groups));
+        crowds_.back()->send_until_quiet(kQuietMs);
+        fleet_.kill("p1", SIGCONT);
+        crowds_.back()->send_until_quiet(kQuietMs, [this] { return any_beyond(); });
+    }
+
     void stays_within_its_limits() {
         for (const auto& watched : watches_) {
             const std::string& name = watched.first;
@@ -353,6 +363,15 @@
         kMembers, 64 * kKiB);
 }
 
+BOOST_AUTO_TEST_CASE(connections_to_a_process_that_stands_still) {
+    Site site;
+    const auto script = body_that_stops_short("/notices", kBodyLimit);
+    site.meets_standing_still({{site.visits(), script, 2 * kDescriptors, kMiB, false, 0},
+                               {site.desk("p1"), script, 2 * kDescriptors, kMiB, false, 0},
+                               {site.weft("p1"), script, 2 * kDescriptors, kMiB, false, 0}});
+    check(site);
+}
+
 // ---- what a caller inside the limits sends, in calm
 
 BOOST_AUTO_TEST_CASE(one_large_body_is_served) {
@@ -380,6 +399,11 @@
     check_callers({{{head("GET", "/notices/large", ""), 1}}}, kManyMembers, kMiB, true);
 }
 
+BOOST_AUTO_TEST_CASE(servers_do_not_read_bodies) {
+    const std::string fields = std::string(LargeServer::kStallField) + ": 1\r\n" + length_field(400 * kKiB);
+    check_callers({{{head("POST", "/notices", fields), 1}, {pattern(kKiB), 400}}}, kManyMembers);
+}
+
 // ---- at operators' and nodes' ports
 
 BOOST_AUTO_TEST_CASE(operators_bodies_stop_short) {
--- a/packages/mime/test/large_server.hpp
+++ b/packages/mime/test/large_server.hpp
@@ -22,6 +22,7 @@
     using Yield = boost::asio::yield_context;
 
   public:
+    static constexpr const char* kStallField = "X-Stall";         // of a request whose body is not read
     static constexpr std::size_t kLargeAnswer = 3 * 1024 * 1024;  // bytes of the body
     static constexpr std::size_t kEndless = 256 * 1024 * 1024;    // bytes after which an endless answer stops
     static constexpr std::chrono::seconds kSlow{5};
@@ -83,6 +84,11 @@
         asked->target = std::string(parser.get().target());
         asked->try_id = std::string(parser.get()["Marble-Try"]);
         asked->keep_alive = parser.get().keep_alive();
+        if (parser.get().find(kStallField) != parser.get().end()) {
+            boost::asio::steady_timer timer(stream.get_executor(), std::chrono::hours(1));
+            timer.async_wait(yield[ec]);
+            return false;
+        }
         std::array<char, 65536> sink;
         while (!parser.is_done()) {
             parser.get().body().data = sink.data();
--- a/packages/span/include/span/caller_connection.hpp
+++ b/packages/span/include/span/caller_connection.hpp
@@ -8,12 +8,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/optional.hpp>
 #include <chrono>
 #include <memory>
 
 #include "budget/counted_string.hpp"
 #include "budget/holders.hpp"
 #include "span/caller_presence.hpp"
+#include "span/wide_socket.hpp"
 
 namespace span {
 
@@ -24,6 +26,8 @@
     /// Where what this connection holds is counted. Where it has to go, its socket is closed and held_body()
     /// let go.
     budget::Holder& holder() { return holder_; }
+    /// Long bodies come through it from now on.
+    void widen();
     /// The body of the request under way; none: null.
     void held_body(budget::CountedString* body) { body_ = body; }
 
@@ -50,7 +54,8 @@
     void read_ahead();
     void poll_later();
     void end();
-    bool full() const;
+    bool room_ahead();
+    void give_room_back();
     void let_go();
 
     boost::beast::tcp_stream stream_;
@@ -60,6 +65,8 @@
     bool reading_ = false, ended_ = false;
     budget::CountedString* body_ = nullptr;
     budget::Holder holder_;
+    boost::optional<WideSocket> wide_;
+    std::size_t ahead_ = 0;  // bytes of the buffer that are counted, beyond what every connection may have
 };
 
 }  // namespace span
--- a/packages/span/include/span/caller_request.hpp
+++ b/packages/span/include/span/caller_request.hpp
@@ -66,6 +66,7 @@
     bool invite_body(boost::asio::yield_context y);
     bool count_fields();
     bool too_long_to_hold() const;
+    void widen();
     bool stream();
     End ended(const Code& ec);
     End refuse(pith::Kind kind, const std::string& why);
--- a/packages/span/include/span/relay.hpp
+++ b/packages/span/include/span/relay.hpp
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "budget/counted_body.hpp"
+#include "budget/holders.hpp"
 #include "pith/log.hpp"
 #include "span/errand.hpp"
 #include "span/hall.hpp"
@@ -37,7 +38,7 @@
 /// The caller's side of a request that is carried out.
 struct CallerSide {
     CallerPresence& presence;
-    budget::Source& memory;      ///< counts what is held for it
+    budget::Holder& memory;      ///< counts what is held for it
     RestOfBody* rest = nullptr;  ///< none: the body is whole
 };
 
@@ -47,6 +48,7 @@
     boost::beast::flat_buffer buf{kMostUnparsed};
     static constexpr std::size_t kMostUnparsed = 32 * 1024;  // bytes, as heads and trailers are until their end
     pith::Micros idle_since = 0, idle_for = 0;
+    bool wide = false;     // its buffer for what is received is wide, and counted no longer
     bool echoes = false;   // the server promised to name the try in every answer
     std::string last_try;  // sent over it last
     int sends = 0;         // requests of callers sent over it
@@ -74,7 +76,7 @@
     // A planned stop's grace is over: callers whose answers are still awaited are told so, at once.
     void give_up();
     void sweep(pith::Micros now);  // closes sessions long idle or to servers that are gone
-    std::size_t idle_sessions() const;
+    std::size_t idle_sessions() const { return idle_sessions_; }
     RequestRules rules;  // a test's to change, before the worker starts
 
   private:
@@ -82,7 +84,7 @@
     using Outbound = http::request<http::buffer_body>;
     struct Sent {
         const Plan& plan;
-        budget::Source& memory;
+        budget::Holder& memory;
         pith::Micros until = 0;
         bool whole = false;  // the whole request was written
         bool first = false;  // the first of its connection
@@ -123,6 +125,7 @@
     boost::asio::io_context& io_;
     Hall& hall_;
     std::map<std::string, std::deque<std::unique_ptr<Session>>> idle_;
+    std::size_t idle_sessions_ = 0;
     std::set<Session*> busy_;
     bool given_up_ = false;
     pith::Seldom old_listing_seldom_{pith::kSecond};
--- a/packages/span/src/caller_connection.cpp
+++ b/packages/span/src/caller_connection.cpp
@@ -3,6 +3,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace span {
 
 namespace asio = boost::asio;
@@ -11,9 +13,11 @@
 
 namespace {
 constexpr std::size_t kPiece = 4096;
-// Bytes of next requests that are read ahead; what goes beyond waits in the system, which holds the caller
-// up.
-constexpr std::size_t kMostReadAhead = budget::kUnparsedBytes - kPiece;
+// Bytes of next requests that are read ahead, where there is room to spare; what goes beyond waits in the
+// system, which holds the caller up.
+constexpr std::size_t kMostReadAhead = 128 * 1024;
+// Of the buffer for each piece: it doubles as it grows.
+constexpr std::size_t kCountedForPiece = 2 * kPiece;
 // Where no more is read ahead an end can only be looked for.
 constexpr auto kPollEvery = std::chrono::milliseconds(100);
 }  // namespace
@@ -27,7 +31,23 @@
     stream_.socket().set_option(tcp::no_delay(true), ec);
 }
 
-bool CallerConnection::full() const { return buffer_.size() >= kMostReadAhead; }
+// False: no more is to be read ahead.
+bool CallerConnection::room_ahead() {
+    const std::size_t size = buffer_.size() + kPiece;
+    if (size > kMostReadAhead) return false;
+    if (size <= budget::kUnparsedBytes) return true;
+    if (!holder_.take_spare(kCountedForPiece)) return false;
+    ahead_ += kCountedForPiece;
+    buffer_.max_size(std::max(buffer_.max_size(), size));
+    return true;
+}
+
+void CallerConnection::give_room_back() {
+    if (ahead_ == 0 || buffer_.size() > budget::kUnparsedBytes) return;
+    buffer_.shrink_to_fit();
+    holder_.give(ahead_);
+    ahead_ = 0;
+}
 
 void CallerConnection::read_ahead() {
     reading_ = true;
@@ -40,7 +60,7 @@
                                          if (ec)
                                              me->end();
                                          else if (me->presence_ != nullptr)
-                                             me->full() ? me->poll_later() : me->read_ahead();
+                                             me->room_ahead() ? me->read_ahead() : me->poll_later();
                                      });
 }
 
@@ -64,10 +84,8 @@
     presence_ = presence;
     if (ended_)
         presence_->leave();
-    else if (full())
-        poll_later();
     else if (!reading_)
-        read_ahead();
+        room_ahead() ? read_ahead() : poll_later();
 }
 
 void CallerConnection::unwatch() {
@@ -86,6 +104,7 @@
 }
 
 bool CallerConnection::wait_for_bytes(std::chrono::microseconds limit, asio::yield_context yield) {
+    give_room_back();
     if (buffer_.size() == 0 && !ended_) {
         if (!reading_) read_ahead();
         Code ec;
@@ -106,6 +125,10 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+void CallerConnection::widen() {
+    if (!wide_) wide_.emplace(stream_.socket(), holder_, Wide::receive);
+}
+
 void CallerConnection::let_go() {
     if (body_ != nullptr) body_->clear();
     Code ec;
--- a/packages/span/src/caller_request.cpp
+++ b/packages/span/src/caller_request.cpp
@@ -175,8 +175,16 @@
     return ec;
 }
 
+// A long body comes through wide buffers.
+void CallerRequest::widen() {
+    const bool is_long =
+        parser_.content_length().value_or(0) > kShortBody || parser_.get().body().size() > kShortBody;
+    if (is_long || streamed_) connection_.widen();
+}
+
 CallerRequest::Code CallerRequest::read_some(asio::yield_context y) {
     Code ec;
+    widen();
     connection_.holder().peer_moved(
         http::async_read_some(connection_.stream(), connection_.buffer(), parser_, y[ec]));
     return ec;
--- a/packages/span/src/common.hpp
+++ b/packages/span/src/common.hpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <string>
 
+#include "budget/allocator.hpp"
 #include "budget/process_limits.hpp"
 #include "creed/bundle.hpp"
 #include "knell/knell.hpp"
@@ -31,6 +32,7 @@
         constexpr std::size_t kMegabyte = 1000 * 1000;
         auto limits = std::make_shared<budget::ProcessLimits>(s.memory_mb * kMegabyte, s.descriptors);
         creed::parse_limit(limits->parsing);
+        budget::large_blocks_go_back();
         return limits;
     }
     static constexpr std::size_t kControlDeskParts = 3;  // of what operators may hold
--- a/packages/span/src/front.cpp
+++ b/packages/span/src/front.cpp
@@ -251,6 +251,8 @@
     const std::size_t size = reply.body().size();
     const budget::Charge unsent(holder, size > kSmallAnswer ? std::min(size, budget::kSendBuffer) : 0);
     if (!unsent) return false;
+    boost::optional<WideSocket> wide;
+    if (size > kShortBody) wide.emplace(st.socket(), holder, Wide::send);
     connection.held_body(&reply.body());
     boost::system::error_code ec;
     http::response_serializer<budget::CountedBody> sr(reply);
@@ -288,7 +290,7 @@
     if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
     if (!ec) weft::bound_socket_buffers(acceptor_);
     if (!ec) acceptor_.bind(ep, ec);
-    if (!ec) acceptor_.listen(512, ec);
+    if (!ec) acceptor_.listen(hall_.limits->callers_waiting, ec);
     if (ec)
         return pith::fail(Kind::settings_wrong, "can't listen on " + address + ": " + ec.message() +
                                                     ": free it or set another address");
--- a/packages/span/src/proxy.cpp
+++ b/packages/span/src/proxy.cpp
@@ -379,6 +379,22 @@
     m.add("in_flight", "gauge", "visits under way", "", hall_.in_flight.load());
     m.add("callers", "gauge", "callers' sessions open", "", n(t.callers));
     m.add("callers_refused_total", "counter", "callers' sessions over the limit", "", n(t.callers_refused));
+    std::size_t evicted = 0;
+    for (const auto& w : workers_) evicted += w->holders.evicted();
+    m.add("callers_evicted_total", "counter", "callers' sessions closed to make room for others", "",
+          static_cast<double>(evicted));
+    const auto& limits = *ctl_->limits;
+    const std::pair<const char*, const budget::Share*> shares[] = {
+        {"callers", &limits.callers}, {"operators", &limits.operators}, {"nodes", &limits.nodes}};
+    for (const auto& share : shares)
+        m.add("held_bytes", "gauge", "bytes of requests, answers and frames that are held, by share",
+              std::string("share=\"") + share.first + "\"", static_cast<double>(share.second->bytes.held()));
+    for (const auto& share : shares)
+        m.add("held_bytes_peak", "gauge", "most of them at one time", std::string("share=\"") + share.first + "\"",
+              static_cast<double>(share.second->bytes.peak()));
+    for (const auto& share : shares)
+        m.add("held_bytes_limit", "gauge", "as many may be", std::string("share=\"") + share.first + "\"",
+              static_cast<double>(share.second->bytes.limit()));
     const auto& l = ctl_->link.tally();
     for (std::size_t i = 0; i < t.callers_left.size(); ++i)
         m.add("callers_left_total", "counter", "requests whose caller was found to have left, by step",
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include "pith/log.hpp"
+#include "span/wide_socket.hpp"
 #include "weft/desk.hpp"
 
 namespace span {
@@ -20,7 +21,6 @@
 namespace {
 
 constexpr std::size_t kMaxAnswer = 4 * 1024 * 1024;
-constexpr std::size_t kShortAnswer = 64 * 1024;  // bytes; for a longer one room is taken before it is read
 constexpr Micros kRoomAgain = 10 * pith::kMilli;  // between looks for it
 constexpr std::size_t kKeepSessions = 4;  // idle ones to one server, of one worker
 constexpr Micros kIdleFor = 20 * pith::kSecond;
@@ -87,6 +87,7 @@
     while (!i->second.empty()) {
         auto x = std::move(i->second.back());
         i->second.pop_back();
+        --idle_sessions_;
         const bool sent_before = rules.one_send_of_a_try && x->last_try == try_id;
         if (!sent_before && now - x->idle_since < x->idle_for && quiet(*x)) return x;
     }
@@ -102,7 +103,7 @@
     ++hall_.tolls.opened;
     const auto server = weft::endpoint(s.address);
     x.stream.socket().open(server.protocol(), ec);
-    if (!ec) x.stream.socket().set_option(asio::socket_base::receive_buffer_size(budget::kReceiveBuffer / 2), ec);
+    if (!ec) weft::bound_socket_buffers(x.stream.socket());
     x.stream.async_connect(server, y[ec]);
     if (ec) return false;
     x.stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
@@ -200,6 +201,9 @@
 bool Relay::send(const CallerSide& caller, Session& s, const Visit& v, Outbound& q, Micros until,
                  boost::system::error_code& ec, asio::yield_context y) const {
     http::request_serializer<http::buffer_body> serializer(q);
+    boost::optional<WideSocket> wide;
+    if (caller.rest != nullptr || v.body().size() > kShortBody)
+        wide.emplace(s.stream.socket(), caller.memory, Wide::send);
     put_body(v, caller.rest != nullptr, &q.body());
     for (;;) {
         http::async_write(s.stream, serializer, y[ec]);
@@ -269,7 +273,7 @@
         const bool sure = step == Step::answered || step == Step::shed || !rules.close_after_doubt;
         const bool leaves = !hall_.dialect.leaving.empty() && in.find(hall_.dialect.leaving) != in.end();
         const bool named_always = s.echoes || !rules.reuse_only_echoing;
-        *keep = lasting && sent.whole && clean && sure && !leaves && named_always;
+        *keep = lasting && sent.whole && clean && sure && !leaves && named_always && !s.wide;
         if (step == Step::answered) hand_over(std::move(in), bodyless, head_only, r);
         return step;
     }
@@ -280,22 +284,31 @@
 void Relay::read_one(Session& s, const Sent& sent, http::response_parser<budget::CountedBody>& parser,
                      boost::system::error_code& ec, asio::yield_context y) {
     parser.get().body().counted_by(&sent.memory);
-    parser.eager(true);
+    const bool head_first = sent.memory.pressed();
+    parser.eager(!head_first);
     bool room = false;
+    boost::optional<WideSocket> wide;
     while (!ec && !parser.is_done()) {
         http::async_read_some(s.stream, s.buf, parser, y[ec]);
         if (ec || parser.is_done() || room || !parser.is_header_done()) continue;
-        const bool is_long = parser.content_length().value_or(0) > kShortAnswer;
-        if (!is_long && parser.get().body().size() <= kShortAnswer) continue;
+        parser.eager(true);
+        const bool unknown = head_first && !parser.content_length();
+        const bool is_long = unknown || parser.content_length().value_or(0) > kShortBody;
+        if (!is_long && parser.get().body().size() <= kShortBody) continue;
         room = room_for(parser, sent, y);
-        if (!room) ec = budget::no_room();
+        if (room)
+            wide.emplace(s.stream.socket(), sent.memory, Wide::receive);
+        else
+            ec = budget::no_room();
     }
+    s.wide = s.wide || (wide && *wide);
 }
 
 bool Relay::room_for(http::response_parser<budget::CountedBody>& parser, const Sent& sent,
                      asio::yield_context y) {
-    const std::uint64_t length = parser.content_length().value_or(kMaxAnswer);
-    while (!parser.get().body().reserve(static_cast<std::size_t>(std::min<std::uint64_t>(length, kMaxAnswer)))) {
+    const std::uint64_t unknown = std::min(kMaxAnswer, sent.memory.room() / 2);
+    const auto length = static_cast<std::size_t>(parser.content_length().value_or(unknown));
+    while (!parser.get().body().reserve(length)) {
         const Micros now = pith::mono_now();
         if (now >= sent.until || given_up_) return false;
         asio::steady_timer timer(io_, std::chrono::microseconds(std::min(kRoomAgain, sent.until - now)));
@@ -483,7 +496,10 @@
     auto& q = idle_[key(s)];
     x->idle_since = pith::mono_now();
     x->stream.expires_never();
-    if (q.size() < kKeepSessions) q.push_back(std::move(x));
+    const std::size_t most = hall_.limits->idle_servers / hall_.threads;
+    if (q.size() >= kKeepSessions || idle_sessions_ >= most) return;
+    q.push_back(std::move(x));
+    ++idle_sessions_;
 }
 
 std::uint8_t Relay::probe(const weft::ServerRec& r, asio::yield_context y) {
@@ -502,15 +518,12 @@
         const bool stands =
             hall_.pool.stands(Slot{k.substr(0, a), k.substr(b + 1), k.substr(a + 1, b - a - 1)});
         auto& q = i->second;
-        while (!q.empty() && (!stands || now - q.front()->idle_since >= q.front()->idle_for)) q.pop_front();
+        while (!q.empty() && (!stands || now - q.front()->idle_since >= q.front()->idle_for)) {
+            q.pop_front();
+            --idle_sessions_;
+        }
         i = q.empty() ? idle_.erase(i) : std::next(i);
     }
 }
 
-std::size_t Relay::idle_sessions() const {
-    std::size_t n = 0;
-    for (const auto& p : idle_) n += p.second.size();
-    return n;
-}
-
 }  // namespace span
--- a/packages/weft/include/weft/desk.hpp
+++ b/packages/weft/include/weft/desk.hpp
@@ -52,7 +52,8 @@
     std::shared_ptr<Impl> impl_;
 };
 
-/// Bounds what may lie unread or unsent in each connection that the acceptor takes.
+/// Bounds what may lie unread or unsent in a connection before it is opened, or in each that the acceptor takes.
+void bound_socket_buffers(boost::asio::ip::tcp::socket& socket);
 void bound_socket_buffers(boost::asio::ip::tcp::acceptor& acceptor);
 
 // One exchange with a deadline; the body of an answer is bounded.
--- a/packages/weft/src/desk.cpp
+++ b/packages/weft/src/desk.cpp
@@ -38,12 +38,19 @@
     return {ip, static_cast<unsigned short>(std::stoi(address.substr(c + 1)))};
 }
 
+namespace {
 // The system doubles what it is told.
-void bound_socket_buffers(tcp::acceptor& acceptor) {
+template <class Socket>
+void bound_buffers(Socket& socket) {
     boost::system::error_code ec;
-    acceptor.set_option(asio::socket_base::receive_buffer_size(budget::kReceiveBuffer / 2), ec);
-    acceptor.set_option(asio::socket_base::send_buffer_size(budget::kSendBuffer / 2), ec);
+    socket.set_option(asio::socket_base::receive_buffer_size(budget::kReceiveBuffer / 2), ec);
+    socket.set_option(asio::socket_base::send_buffer_size(budget::kSendBuffer / 2), ec);
 }
+}  // namespace
+
+void bound_socket_buffers(tcp::socket& socket) { bound_buffers(socket); }
+
+void bound_socket_buffers(tcp::acceptor& acceptor) { bound_buffers(acceptor); }
 
 Answer json_answer(int status, std::string body) {
     Answer a{http::status(status), 11};
@@ -247,7 +254,7 @@
     if (!ec) impl_->acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
     if (!ec) bound_socket_buffers(impl_->acceptor);
     if (!ec) impl_->acceptor.bind(ep, ec);
-    if (!ec) impl_->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (!ec) impl_->acceptor.listen(limits_->others_waiting, ec);
     if (ec)
         return pith::fail(Kind::settings_wrong, "can't listen on " + address + ": " + ec.message() +
                                                     ": free it or set another address");
--- a/packages/weft/src/plain.cpp
+++ b/packages/weft/src/plain.cpp
@@ -261,7 +261,7 @@
         if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
         if (!ec) bound_socket_buffers(acceptor_);
         if (!ec) acceptor_.bind(ep, ec);
-        if (!ec) acceptor_.listen(512, ec);
+        if (!ec) acceptor_.listen(limits_->others_waiting, ec);
         tcp::endpoint at;
         if (!ec) at = acceptor_.local_endpoint(ec);
         const udp::endpoint u{at.address(), at.port()};
