--- a/packages/mime/include/mime/process_use.hpp
+++ b/packages/mime/include/mime/process_use.hpp
@@ -19,6 +19,8 @@
     std::size_t held() const { return resident + unread + unsent; }
 };
 
+/// Its memory alone; all zero where it has ended.
+ProcessUse process_memory(pid_t process);
 /// `listens`: ports whose connections count from before they are accepted. All zero where it has ended.
 ProcessUse process_use(pid_t process, const std::set<unsigned>& listens);
 
--- a/packages/mime/include/mime/soak_ledger.hpp
+++ b/packages/mime/include/mime/soak_ledger.hpp
@@ -50,7 +50,7 @@
 };
 
 /// The rules that a soak judges, with the names of docs/proof.md.
-enum class SoakRule : std::uint8_t { gone, drain, lost, mixed, twice, refused };
+enum class SoakRule : std::uint8_t { gone, drain, lost, mixed, twice, refused, fault };
 const char* soak_rule_text(SoakRule rule);
 
 struct SoakVerdict {
@@ -59,6 +59,7 @@
     std::uint64_t requests = 0, answered = 0, left = 0, cut = 0, not_judged = 0;
     std::uint64_t worked_on = 0, would_have_lasted = 0;  ///< reads whose callers had left for half a second
     std::uint64_t sent_after_leaving = 0;                ///< over half a second after the caller had left
+    std::size_t most_resident = 0;                       ///< bytes, of one process
     pith::Micros latest_to_leaving = 0;                  ///< after the listing showed that the server leaves
     std::string line() const;
 };
@@ -68,6 +69,10 @@
     void sent(const std::string& try_id, const std::string& proxy, bool write,
               pith::Micros at = pith::mono_now());
     void answered(const std::string& try_id, SoakAnswer answer);
+    /// A process ended by itself, or went over its memory.
+    void failed(const std::string& what);
+    /// A process was seen to have so many bytes of memory.
+    void resident(std::size_t bytes);
     /// Any other end.
     void ended(const std::string& try_id, CallerEnd end);
     void left(const std::string& try_id, const std::string& way, pith::Micros at = pith::mono_now());
@@ -98,6 +103,8 @@
                               SoakVerdict* verdict) const;
 
     mutable std::mutex mutex_;
+    std::vector<std::string> failures_;
+    std::size_t most_resident_ = 0;
     std::map<std::string, SoakRequest> requests_;
     std::map<std::string, pith::Micros> shown_leaving_;
     std::map<std::string, Times> troubled_;
--- a/packages/mime/src/crowd.cpp
+++ b/packages/mime/src/crowd.cpp
@@ -13,7 +13,8 @@
 namespace mime {
 
 namespace {
-constexpr int kTurnMs = 20;          // at most, in one wait for events
+constexpr int kTurnMs = 20;  // at most, in one wait for events
+constexpr pith::Micros kComesAgainIn = 200 * pith::kMilli;
 constexpr std::size_t kShown = 400;  // bytes of what was received last
 }  // namespace
 
@@ -58,7 +59,11 @@
     void lose() {
         close();
         ++closed;
-        if (again_left == 0) return;
+        again_at = pith::mono_now() + kComesAgainIn;
+    }
+
+    bool comes_again(pith::Micros now) const { return fd < 0 && again_left > 0 && now >= again_at; }
+    void come_again() {
         --again_left;
         open();
     }
@@ -107,6 +112,7 @@
 
     CrowdGroup group;
     std::size_t again_left;
+    pith::Micros again_at = 0;
     int fd = -1;
     std::size_t part = 0, repeat = 0, offset = 0;
     std::uint64_t sent = 0, received = 0;
@@ -126,7 +132,9 @@
 bool Crowd::turn(int wait_ms) {
     polled_.clear();
     std::vector<Member*> who;
+    const pith::Micros now = pith::mono_now();
     for (const auto& member : members_) {
+        if (member->comes_again(now)) member->come_again();
         if (member->fd < 0) continue;
         polled_.push_back({member->fd, member->wanted(), 0});
         who.push_back(member.get());
--- a/packages/mime/src/main.cpp
+++ b/packages/mime/src/main.cpp
@@ -35,6 +35,8 @@
 DEFINE_int32(keeper_count, 3, "soak: control nodes");
 DEFINE_int32(server_count, 9, "soak: servers, in this process");
 DEFINE_int32(caller_count, 24, "soak: callers, in this process");
+DEFINE_int32(crowd, 8, "soak: clients that don't behave, at each proxy");
+DEFINE_int32(memory_mb, 96, "soak: memory of each process");
 DEFINE_double(pause_s, 0.8, "soak: mean time between two troubles");
 DEFINE_bool(large, false, "soak: plain links and a tolerance of the allowances, for fleets of over 24 proxies");
 DEFINE_bool(echo, false, "fleet: logs to the terminal too");
@@ -45,7 +47,7 @@
                                          "key",         "method",       "path",     "rate",    "seconds",
                                          "seed",        "deadline_ms",  "retry",    "program", "folder",
                                          "proxy_count", "servers_each", "echo",     "seeds",   "keeper_count",
-                                         "server_count", "caller_count", "pause_s", "large"};
+                                         "server_count", "caller_count", "pause_s", "large", "crowd", "memory_mb"};
 
 int listening(const pith::Result<std::string>& a, boost::asio::io_context& io) {
     if (!a) {
@@ -117,6 +119,8 @@
         plan.fleet.keepers = FLAGS_keeper_count;
         plan.fleet.proxies = FLAGS_proxy_count;
         plan.fleet.large = FLAGS_large;
+        plan.fleet.memory_mb = static_cast<std::size_t>(FLAGS_memory_mb);
+        plan.crowd = static_cast<std::size_t>(FLAGS_crowd);
         plan.servers = FLAGS_server_count;
         plan.callers = FLAGS_caller_count;
         plan.seconds = FLAGS_seconds;
--- a/packages/mime/src/process_use.cpp
+++ b/packages/mime/src/process_use.cpp
@@ -71,6 +71,12 @@
 
 }  // namespace
 
+ProcessUse process_memory(pid_t process) {
+    ProcessUse use;
+    read_status(process, &use);
+    return use;
+}
+
 ProcessUse process_use(pid_t process, const std::set<unsigned>& listens) {
     ProcessUse use;
     read_status(process, &use);
--- a/packages/mime/src/soak.cpp
+++ b/packages/mime/src/soak.cpp
@@ -11,7 +11,9 @@
 #include <set>
 #include <thread>
 
+#include "mime/process_use.hpp"
 #include "mime/soak_callers.hpp"
+#include "mime/soak_crowd.hpp"
 #include "mime/soak_servers.hpp"
 #include "pith/hash.hpp"
 
@@ -29,6 +31,8 @@
 constexpr Micros kServesOn = 3500 * kMilli;     // a server that leaves, after the listing shows it
 constexpr Micros kNewConnectionsFor = kSecond;  // the platform notices so late that a proxy takes no more
 constexpr Micros kStallLook = 20 * kMilli, kStall = 150 * kMilli;
+constexpr Micros kProcessLook = 200 * kMilli;  // between looks at the processes' memory
+constexpr std::size_t kMegabyte = 1000 * 1000;
 constexpr std::uint64_t kFirstNumber = 1;
 
 void sleep_for(Micros time) { std::this_thread::sleep_for(std::chrono::microseconds(time)); }
@@ -60,11 +64,15 @@
         SoakCallers callers(caller_plan(), ledger_, [this](std::size_t proxy) { return takes_new(proxy); });
         std::thread calling([&callers] { callers.run(); });
         std::thread watching([this] { watch_for_stalls(); });
+        std::thread looking([this] { watch_processes(); });
+        auto crowd = std::make_unique<SoakCrowd>(crowd_plan());
         trouble();
+        crowd.reset();
         callers.stop();
         calling.join();
         over_ = true;
         watching.join();
+        looking.join();
         for (auto& thread : enders_) thread.join();
         enders_.clear();
         return ledger_.judge();
@@ -102,6 +110,16 @@
         return callers;
     }
 
+    SoakCrowdPlan crowd_plan() const {
+        SoakCrowdPlan crowd;
+        for (const auto& proxy : proxies_) crowd.addresses.push_back(fleet_.visits(proxy->name));
+        crowd.service = plan_.fleet.servers.begin()->first;
+        crowd.key = "key-small";
+        crowd.members = plan_.crowd;
+        crowd.seed = plan_.seed;
+        return crowd;
+    }
+
     pith::Result<bool> bring_up() {
         auto prepared = fleet_.prepare();
         if (!prepared) return prepared;
@@ -218,6 +236,7 @@
         if (signal == SIGKILL) ledger_.troubled(proxy->name);
         proxy->no_new_from = pith::mono_now() + (signal == SIGKILL ? 0 : kNewConnectionsFor);
         fleet_.forget_lines(proxy->name);
+        expect_end(proxy->name, true);
         fleet_.kill(proxy->name, signal);
         const bool hup_too = signal == SIGTERM && random_.below(3) == 0;
         enders_.emplace_back([this, proxy, signal, hup_too] {
@@ -225,6 +244,7 @@
             fleet_.wait_end(proxy->name);
             if (signal == SIGKILL) ledger_.troubled(proxy->name);
             fleet_.start(proxy->name);
+            expect_end(proxy->name, false);
             if (!fleet_.wait_line(proxy->name, {"event=ready"}, kComeUpIn)) return;
             proxy->no_new_from = pith::kNever;
             if (signal == SIGKILL) ledger_.troubled(proxy->name);
@@ -249,10 +269,12 @@
         const auto keepers = fleet_.names("keeper");
         const std::string& keeper = keepers[random_.below(keepers.size())];
         fleet_.forget_lines(keeper);
+        expect_end(keeper, true);
         fleet_.kill(keeper, signal);
         enders_.emplace_back([this, keeper] {
             fleet_.wait_end(keeper);
             fleet_.start(keeper);
+            expect_end(keeper, false);
             fleet_.wait_line(keeper, {"event=membership", "voting=yes"}, kComeUpIn);
             keeper_busy_ = false;
         });
@@ -314,6 +336,46 @@
         }
     }
 
+    // ---- what processes take
+
+    void expect_end(const std::string& name, bool expected) {
+        std::lock_guard<std::mutex> lock(mutex_);
+        if (expected)
+            ending_.insert(name);
+        else
+            ending_.erase(name);
+    }
+
+    bool ends_by_itself(const std::string& name, pid_t process) {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return ending_.count(name) == 0 && fleet_.pid(name) == process;
+    }
+
+    void look_at(const std::string& name) {
+        const pid_t process = fleet_.pid(name);
+        if (process <= 0) return;
+        const std::size_t resident = process_memory(process).resident;
+        ledger_.resident(resident);
+        if (resident == 0 && ends_by_itself(name, process)) {
+            expect_end(name, true);  // told once
+            ledger_.failed(name + " ended by itself");
+        }
+        const std::size_t limit = plan_.fleet.memory_mb * kMegabyte;
+        if (limit > 0 && resident > limit)
+            ledger_.failed(name + " had " + std::to_string(resident / kMegabyte) + " MB of " +
+                           std::to_string(plan_.fleet.memory_mb));
+    }
+
+    void watch_processes() {
+        auto names = fleet_.names("proxy");
+        const auto keepers = fleet_.names("keeper");
+        names.insert(names.end(), keepers.begin(), keepers.end());
+        while (!over_) {
+            for (const auto& name : names) look_at(name);
+            sleep_for(kProcessLook);
+        }
+    }
+
     // Where this machine does not run us for a while, it does not run the fleet either.
     void watch_for_stalls() {
         while (!over_) {
@@ -335,7 +397,8 @@
     std::vector<std::unique_ptr<Proxy>> proxies_;
     std::vector<Listed> servers_;
     std::uint64_t servers_made_ = 0, number_ = kFirstNumber;
-    std::mutex mutex_;  // of who is troubled
+    std::mutex mutex_;  // of who is troubled, and who ends
+    std::set<std::string> ending_;
     std::vector<std::thread> enders_;
     std::atomic<bool> keeper_busy_{false}, over_{false};
 };
--- a/packages/mime/src/soak_ledger.cpp
+++ b/packages/mime/src/soak_ledger.cpp
@@ -16,6 +16,7 @@
 constexpr Micros kContact = 3 * kSecond;        // after a trouble a node counts again
 constexpr std::size_t kFew = 3;
 constexpr std::size_t kMostNamed = 5;
+constexpr std::size_t kMebibyte = 1024 * 1024;
 
 /// Whether the server that the caller's answer names gave that status.
 bool given_by_server(const SoakRequest& request) {
@@ -46,6 +47,8 @@
             return "TWICE";
         case SoakRule::refused:
             return "REFUSED";
+        case SoakRule::fault:
+            return "FAULT";
     }
     return "";
 }
@@ -64,6 +67,16 @@
     requests_[try_id].answer = std::move(answer);
 }
 
+void SoakLedger::failed(const std::string& what) {
+    Lock lock(mutex_);
+    failures_.push_back(what);
+}
+
+void SoakLedger::resident(std::size_t bytes) {
+    Lock lock(mutex_);
+    most_resident_ = std::max(most_resident_, bytes);
+}
+
 void SoakLedger::ended(const std::string& try_id, CallerEnd end) {
     Lock lock(mutex_);
     auto& request = requests_[try_id];
@@ -208,6 +221,8 @@
 SoakVerdict SoakLedger::judge() const {
     Lock lock(mutex_);
     SoakVerdict verdict;
+    verdict.most_resident = most_resident_;
+    for (const auto& failure : failures_) note(&verdict, SoakRule::fault, failure);
     for (const auto& [try_id, request] : requests_) {
         ++verdict.requests;
         verdict.answered += request.end == CallerEnd::answered ? 1 : 0;
@@ -235,6 +250,7 @@
                        " worked_on=" + std::to_string(worked_on) +
                        " of=" + std::to_string(would_have_lasted) +
                        " sent_after_leaving=" + std::to_string(sent_after_leaving) +
+                       " most_resident=" + std::to_string(most_resident / kMebibyte) + "MiB" +
                        " latest_to_leaving=" + std::to_string(latest_to_leaving / kMilli) + "ms";
     for (const auto& one : seen) text += "\n    seen " + one;
     for (const auto& [rule, cases] : broken) {
--- a/packages/mime/test/soak.cpp
+++ b/packages/mime/test/soak.cpp
@@ -19,6 +19,7 @@
     plan.fleet.mime = MS_MIME;
     plan.fleet.folder = ::mkdtemp(folder);
     plan.seconds = 18;
+    plan.fleet.memory_mb = 96;
     plan.seed = seed;
     const auto verdict = soak(plan);
     BOOST_REQUIRE_MESSAGE(verdict.has_value(), pith::why(verdict));
@@ -117,6 +118,10 @@
     judges_leaving_servers();
     judges_leaving_callers();
 
+    Account failed;
+    failed.ledger.failed("p1 ended by itself");
+    BOOST_TEST(failed.breaks(SoakRule::fault));
+
     Account killed;  // a node that was killed promises nothing
     killed.ledger.troubled("p1");
     killed.ledger.sent("a", "p1", false);
