--- a/packages/span/include/span/caller_request.hpp
+++ b/packages/span/include/span/caller_request.hpp
@@ -65,6 +65,7 @@
     bool sound_head();
     bool invite_body(boost::asio::yield_context y);
     bool count_fields();
+    std::uint64_t known_length() const;
     bool too_long_to_hold() const;
     void widen();
     bool stream();
--- a/packages/span/src/caller_request.cpp
+++ b/packages/span/src/caller_request.cpp
@@ -143,10 +143,15 @@
     return !ec;
 }
 
+// Of the body, as the caller has said and as it has come.
+std::uint64_t CallerRequest::known_length() const {
+    const auto said = parser_.content_length();
+    const std::uint64_t come = parser_.get().body().size();
+    return said ? std::max<std::uint64_t>(*said, come) : come;
+}
+
 bool CallerRequest::too_long_to_hold() const {
-    const std::size_t most = connection_.holder().room() / kHeldOf;
-    return !parser_.is_done() &&
-           (parser_.content_length().value_or(0) > most || parser_.get().body().size() > most);
+    return !parser_.is_done() && known_length() > connection_.holder().room() / kHeldOf;
 }
 
 // False: another body has the place, and this one is refused.
@@ -177,9 +182,7 @@
 
 // A long body comes through wide buffers.
 void CallerRequest::widen() {
-    const bool is_long =
-        parser_.content_length().value_or(0) > kShortBody || parser_.get().body().size() > kShortBody;
-    if (is_long || streamed_) connection_.widen();
+    if (streamed_ || known_length() > kShortBody) connection_.widen();
 }
 
 CallerRequest::Code CallerRequest::read_some(asio::yield_context y) {
--- a/packages/span/src/relay.cpp
+++ b/packages/span/src/relay.cpp
@@ -292,8 +292,8 @@
         http::async_read_some(s.stream, s.buf, parser, y[ec]);
         if (ec || parser.is_done() || room || !parser.is_header_done()) continue;
         parser.eager(true);
-        const bool unknown = head_first && !parser.content_length();
-        const bool is_long = unknown || parser.content_length().value_or(0) > kShortBody;
+        const auto length = parser.content_length();
+        const bool is_long = length ? *length > kShortBody : head_first;
         if (!is_long && parser.get().body().size() <= kShortBody) continue;
         room = room_for(parser, sent, y);
         if (room)
@@ -306,8 +306,9 @@
 
 bool Relay::room_for(http::response_parser<budget::CountedBody>& parser, const Sent& sent,
                      asio::yield_context y) {
-    const std::uint64_t unknown = std::min(kMaxAnswer, sent.memory.room() / 2);
-    const auto length = static_cast<std::size_t>(parser.content_length().value_or(unknown));
+    const auto said = parser.content_length();
+    const std::size_t length =
+        said ? static_cast<std::size_t>(*said) : std::min(kMaxAnswer, sent.memory.room() / 2);
     while (!parser.get().body().reserve(length)) {
         const Micros now = pith::mono_now();
         if (now >= sent.until || given_up_) return false;
