--- a/packages/mime/test/crowd.cpp
+++ b/packages/mime/test/crowd.cpp
@@ -72,6 +72,15 @@
             {pattern(kKiB - 1), 1}};
 }
 
+constexpr std::size_t kFrame = 12 * kMiB;  // of a frame between nodes
+
+/// What a stream of frames says before one of kFrame bytes.
+std::string frame_length() {
+    std::string length;
+    for (int i = 0; i < 4; ++i) length.push_back(static_cast<char>(kFrame >> (8 * i)));
+    return length;
+}
+
 unsigned port_of(const std::string& address) {
     return static_cast<unsigned>(std::stoul(address.substr(address.rfind(':') + 1)));
 }
@@ -444,10 +453,7 @@
 
 BOOST_AUTO_TEST_CASE(frames_stop_short) {
     Site site;
-    constexpr std::size_t kFrame = 12 * kMiB;
-    std::string length;
-    for (int i = 0; i < 4; ++i) length.push_back(static_cast<char>(kFrame >> (8 * i)));
-    const CrowdScript script{{length, 1}, {pattern(kKiB), kFrame / kKiB - 1}};
+    const CrowdScript script{{frame_length(), 1}, {pattern(kKiB), kFrame / kKiB - 1}};
     site.meets({{site.weft("p1"), script, kMembers, kMiB, false, 0},
                 {site.weft("k1"), script, kMembers, kMiB, false, 0}});
     site.operators_are_served();
@@ -456,11 +462,8 @@
 
 BOOST_AUTO_TEST_CASE(frames_are_only_announced) {
     Site site;
-    constexpr std::size_t kFrame = 12 * kMiB;
-    std::string length;
-    for (int i = 0; i < 4; ++i) length.push_back(static_cast<char>(kFrame >> (8 * i)));
-    site.meets({{site.weft("p1"), {{length, 1}}, kManyMembers, kMiB, false, 0},
-                {site.weft("k1"), {{length, 1}}, kManyMembers, kMiB, false, 0}});
+    site.meets({{site.weft("p1"), {{frame_length(), 1}}, kManyMembers, kMiB, false, 0},
+                {site.weft("k1"), {{frame_length(), 1}}, kManyMembers, kMiB, false, 0}});
     site.operators_are_served();
     check(site);
 }
@@ -471,7 +474,6 @@
     std::string greeting("\xff\0\0\0\0\0\0\0\x01\x7f\x03\0NULL", 16);
     greeting.resize(64, '\0');
     const std::string ready("\x04\x1a\x05READY\x0bSocket-Type\0\0\0\x04PUSH", 28);
-    constexpr std::size_t kFrame = 12 * kMiB;
     std::string length(1, '\x02');
     for (int i = 7; i >= 0; --i) length.push_back(static_cast<char>(std::uint64_t{kFrame} >> (8 * i)));
     const CrowdScript script{{greeting + ready + length, 1}, {pattern(kKiB), kFrame / kKiB - 1}};
