--- a/review/common-2/stand_in.hpp
+++ b/review/common-2/stand_in.hpp
@@ -262,6 +262,7 @@
 /// Serves each connection on a thread of its own until `serve` gives false.
 class HttpServer {
   public:
+    static constexpr double kBodyIn = 10;  // seconds; a request is read whole before it is served
     using Serve = std::function<bool(Connection&, Message&)>;  // the body is read already
     ~HttpServer() { stop(); }
     bool start(const std::string& ip, int port, Serve serve) {
@@ -282,8 +283,9 @@
                         Connection c(s);
                         Message m;
                         for (;;) {
-                            const Read r = read_message(c, &m, now() + 0.2);
+                            Read r = read_head(c, &m, now() + 0.2);
                             if (r == Read::late && !ended_) continue;
+                            if (r == Read::whole) r = read_body(c, &m, now() + kBodyIn);
                             if (r != Read::whole || ended_ || !serve_(c, m)) break;
                         }
                     }
