--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -8,6 +8,7 @@
 constexpr const char* kKey = "key-of-the-desk-0001";
 constexpr std::size_t kBody = 16 * 1024 * 1024;  // of 64 MiB that the configuration allows
 constexpr int kRate = 4, kBurst = 8;             // of the tenant's quota
+constexpr int kClients = 6;                      // that send these
 constexpr double kUsual = 2;                     // requests a second that the tenant sends beside its uploads
 constexpr double kHot = 7.5, kHotFor = 6.5;      // hot_tenant: times its usual; seconds
 
@@ -87,22 +88,28 @@
     const Node& node = fleet.node(0);
     std::atomic<bool> over{false};
     std::atomic<int> refused{0}, served{0};
-    std::thread load([&] {
-        Connection c;
-        for (int i = 0; !over; ++i) {
-            const std::string id = "read" + std::to_string(i);
-            if (!c.is_open() && !c.open(node.ip, Fleet::kVisits, now() + 1)) continue;
-            note_sent(id);
-            Message m;
-            if (!c.send(request("GET", "slots.example", "/slots/2f", id), now() + 1) ||
-                read_message(c, &m, now() + 6) != Read::whole)
-                c.end();
-            else
-                ++(m.status() == 200 ? served : refused);
-            if (m.field("Connection") == "close") c.end();
-            pause_s(1.0 / (trouble && now() - begun < kHotFor ? kHot * kUsual : kUsual));
-        }
-    });
+    std::atomic<int> reads{0};
+    std::vector<std::thread> load;
+    for (int k = 0; k < kClients; ++k)
+        load.emplace_back([&] {
+            Connection c;
+            while (!over) {
+                const double at = now();
+                const bool hot = trouble && at - begun < kHotFor;
+                const std::string id = "read" + std::to_string(++reads);
+                if (c.is_open() || c.open(node.ip, Fleet::kVisits, at + 1)) {
+                    note_sent(id);
+                    Message m;
+                    if (!c.send(request("GET", "slots.example", "/slots/2f", id), at + 1) ||
+                        read_message(c, &m, at + 6) != Read::whole)
+                        c.end();
+                    else
+                        ++(m.status() == 200 ? served : refused);
+                    if (m.field("Connection") == "close") c.end();
+                }
+                pause_s(at + kClients / (hot ? kHot * kUsual : kUsual) - now());
+            }
+        });
     pause_s(4);
 
     // A booking desk's upload: its body is a file that holds the text of an HTTP request to the public route, as a trace
@@ -131,7 +138,7 @@
         record.line("the body was %s", all ? "sent whole" : "not taken whole");
     }
     over = true;
-    load.join();
+    for (auto& l : load) l.join();
     record.line("other requests of the tenant: %d served, %d refused", served.load(), refused.load());
     fleet.kill_all();
     int broken = 0;
--- a/review/common-2/stand_in.hpp
+++ b/review/common-2/stand_in.hpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -380,6 +381,7 @@
         const std::string log = folder_ + "/" + n.name + ".log";
         const pid_t pid = fork();
         if (pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the case, however that ends
             const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(fd, 1);
             dup2(fd, 2);
