--- a/packages/span/include/span/caller_connection.hpp
+++ b/packages/span/include/span/caller_connection.hpp
@@ -45,6 +45,8 @@
     void unwatch();
     /// Ends the read that is under way, if there is one; then the stream may be read from.
     void stop_reading(boost::asio::yield_context yield);
+    /// Lets go of what was read ahead. No read may be under way.
+    void drop_buffer();
 
     /// Asks the system, without waiting: for where this process may have stood still since it read last.
     bool ended();
--- a/packages/span/include/span/caller_request.hpp
+++ b/packages/span/include/span/caller_request.hpp
@@ -47,6 +47,8 @@
     /// None: the body is whole.
     RestOfBody* rest() { return streamed_ ? this : nullptr; }
     const Refusal& refusal() const { return refusal_; }
+    /// Its body was read to its end: what comes next on the connection is another request.
+    bool whole() const { return parser_.is_done(); }
     bool head_only() const { return head_only_; }
 
     /// `presence` is told where the caller leaves: until rest() is read first, and once it is read to its
--- a/packages/span/include/span/front.hpp
+++ b/packages/span/include/span/front.hpp
@@ -8,6 +8,7 @@
 
 #include "span/caller_connection.hpp"
 #include "span/caller_request.hpp"
+#include "span/lingering_close.hpp"
 #include "span/relay.hpp"
 #include "weft/desk.hpp"
 
@@ -29,12 +30,13 @@
     budget::Holders holders;  ///< the callers' connections
 
   private:
-    void visit(CallerRequest& request, CallerConnection& connection, Carried* c, boost::asio::yield_context y);
-    Reply answer(CallerRequest& request, CallerConnection& connection, CallerRequest::End end, bool* more,
+    void visit(CallerRequest& request, CallerConnection& connection, Carried* c,
+               boost::asio::yield_context y);
+    bool serve_one(CallerConnection& connection, LingeringClose* closing, boost::asio::yield_context y);
+    Reply answer(CallerRequest& request, CallerConnection& connection, CallerRequest::End end,
                  bool* caller_left, boost::asio::yield_context y);
     void note(Carried& c, int status);
     bool write(CallerConnection& connection, Reply& reply, bool head_only, boost::asio::yield_context y);
-    void drain(CallerConnection& connection, boost::asio::yield_context y);
     bool wait_turn(const Entry& e, tide::Id id, const WaiterPtr& w, CallerPresence& caller,
                    boost::asio::yield_context y);
     // Stands in S once more, for a visit whose pass went stale.
--- a/packages/span/src/caller_connection.cpp
+++ b/packages/span/src/caller_connection.cpp
@@ -103,6 +103,11 @@
     }
 }
 
+void CallerConnection::drop_buffer() {
+    buffer_.consume(buffer_.size());
+    give_room_back();
+}
+
 bool CallerConnection::wait_for_bytes(std::chrono::microseconds limit, asio::yield_context yield) {
     give_room_back();
     if (buffer_.size() == 0 && !ended_) {
--- a/packages/span/src/front.cpp
+++ b/packages/span/src/front.cpp
@@ -1,6 +1,6 @@
 #include "span/front.hpp"
 
-#include <array>
+#include <algorithm>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
@@ -21,7 +21,17 @@
 constexpr std::size_t kOnTheirWay = 16;  // connections that were accepted and are not yet counted by a worker
 constexpr std::size_t kSmallAnswer = 16 * 1024;  // bytes; what lies unsent of a longer one is counted
 constexpr auto kWriteIn = std::chrono::seconds(10);
-constexpr auto kDrainFor = std::chrono::milliseconds(500);
+// What a caller still sends of a body that nobody wants is dropped so long.
+constexpr Micros kBodyPause = 5 * pith::kSecond;
+constexpr Micros kBodyDropped = 30 * pith::kSecond;
+constexpr std::uint64_t kLeastDropped =
+    64 * 1024 * 1024;  // bytes; where bodies may be longer, as long as these
+// Behind a whole request, a caller's next ones.
+constexpr LingerLimits kAfterWhole{1024 * 1024, 500 * pith::kMilli, 500 * pith::kMilli};
+
+LingerLimits of_unread_body(const creed::Limits& limits) {
+    return {std::max<std::uint64_t>(limits.body_bytes, kLeastDropped), kBodyPause, kBodyDropped};
+}
 
 std::chrono::steady_clock::time_point at(Micros t) {
     return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
@@ -177,44 +187,52 @@
 void Worker::serve(tcp::socket sock, asio::yield_context y) {
     const auto connection = std::make_shared<CallerConnection>(std::move(sock), holders);
     const CloseAtEnd close_at_end(connection);
-    auto& holder = connection->holder();
-    if (!holder.admitted()) {
+    if (!connection->holder().admitted()) {
         ++hall_.tolls.callers_refused;
         return;
     }
-    for (bool more = true; more;) {
-        const creed::PolicyPtr conf = hall_.policy();
-        const creed::Limits limits = conf ? conf->bundle().limits : creed::Limits{};
-        // Between requests the idle time, from a request's first byte on the head's.
-        const auto idle_time = std::chrono::microseconds(std::max(limits.idle_time, limits.header_time));
-        holder.peer_waited_for();
-        if (!connection->wait_for_bytes(idle_time, y) || holder.evicted()) return;
-        CallerRequest request(*connection, limits, hall_.dialect, stream_place_);
-        const auto end = request.read(y);
-        if (end == CallerRequest::End::gone) return;
-        bool caller_left = false;
-        Reply reply = answer(request, *connection, end, &more, &caller_left, y);
-        if (caller_left) return;  // nobody reads the answer
-        reply.keep_alive(more);
-        if (!write(*connection, reply, request.head_only(), y)) return;
-    }
-    drain(*connection, y);
+    LingeringClose closing(connection);
+    while (!closing.begun())
+        if (!serve_one(*connection, &closing, y)) return;
+    closing.finish(y);
 }
 
-// Carries the request out, and gives the answer. `more`: the connection goes on afterwards.
-Reply Worker::answer(CallerRequest& request, CallerConnection& connection, CallerRequest::End end, bool* more,
+// The connection's next request. False: nobody is there to be answered.
+bool Worker::serve_one(CallerConnection& connection, LingeringClose* closing, asio::yield_context y) {
+    const creed::PolicyPtr conf = hall_.policy();
+    const creed::Limits limits = conf ? conf->bundle().limits : creed::Limits{};
+    auto& holder = connection.holder();
+    // Between requests the idle time, from a request's first byte on the head's.
+    const auto idle_time = std::chrono::microseconds(std::max(limits.idle_time, limits.header_time));
+    holder.peer_waited_for();
+    if (!connection.wait_for_bytes(idle_time, y) || holder.evicted()) return false;
+    CallerRequest request(connection, limits, hall_.dialect, stream_place_);
+    const auto end = request.read(y);
+    if (end == CallerRequest::End::gone) return false;
+    bool caller_left = false;
+    Reply reply = answer(request, connection, end, &caller_left, y);
+    if (caller_left) return false;  // nobody reads the answer
+    // What is left of a body is never read as a request (docs/design.md 7.11). Where this process stops, the
+    // platform gives the caller another machine.
+    const bool more = end == CallerRequest::End::ready && request.whole() && request.message().keep_alive() &&
+                      !hall_.stopping && hall_.ready;
+    reply.keep_alive(more);
+    if (!more) closing->begin(request.whole() ? kAfterWhole : of_unread_body(limits), y);
+    return write(connection, reply, request.head_only(), y);
+}
+
+// Carries the request out, and gives the answer.
+Reply Worker::answer(CallerRequest& request, CallerConnection& connection, CallerRequest::End end,
                      bool* caller_left, asio::yield_context y) {
     Carried c;
     if (end == CallerRequest::End::ready) {
-        *more = request.message().keep_alive();
         connection.stream().expires_never();
         visit(request, connection, &c, y);
     } else {
         c.refusal = request.refusal();
-        *more = false;
     }
-    if (hall_.stopping || !hall_.ready) *more = false;  // the platform gives the caller another machine
-    Reply reply = c.answered ? std::move(c.reply) : refusal_reply(c.refusal, request.head_only(), hall_.dialect);
+    Reply reply =
+        c.answered ? std::move(c.reply) : refusal_reply(c.refusal, request.head_only(), hall_.dialect);
     *caller_left = c.caller_left;
     note(c, static_cast<int>(reply.result_int()));
     return reply;
@@ -268,18 +286,6 @@
     return !ec && !holder.evicted();
 }
 
-// What the caller still sends is read for a moment, lest a reset eat our answer.
-void Worker::drain(CallerConnection& connection, asio::yield_context y) {
-    auto& st = connection.stream();
-    connection.stop_reading(y);
-    boost::system::error_code ec;
-    st.socket().shutdown(tcp::socket::shutdown_send, ec);
-    std::array<char, 4096> sink;
-    st.expires_after(kDrainFor);
-    connection.holder().peer_waited_for();
-    while (!ec) st.async_read_some(asio::buffer(sink), y[ec]);
-}
-
 Front::Front(asio::io_context& io, Hall& h, std::vector<std::unique_ptr<Worker>>& w)
     : io_(io), hall_(h), w_(w), acceptor_(io) {}
 
--- a/packages/span/test/gateway_under_test.hpp
+++ b/packages/span/test/gateway_under_test.hpp
@@ -46,6 +46,8 @@
     bool echo = true;  ///< what the servers promise, where they prove themselves
     int workers = 1;
     span::RequestRules rules{};
+    std::size_t memory = 0;               ///< bytes of the process; 0: the machine's
+    std::size_t body_bytes = 67'108'864;  ///< longest body that a caller may send
 };
 
 /// What a caller was told.
@@ -74,9 +76,11 @@
                (write || !body.empty() ? "Content-Length: " + std::to_string(body.size()) + "\r\n" : "") +
                "\r\n" + body;
     }
-    void send(const std::string& bytes) {
+    /// False: the gateway did not take them all.
+    bool send(const std::string& bytes) {
         boost::system::error_code ec;
         asio::write(socket_, asio::buffer(bytes), ec);
+        return !ec;
     }
     Told read(bool head_only = false) {
         Told told;
@@ -117,6 +121,15 @@
         boost::system::error_code ec;
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     }
+    /// Reads until the gateway has ended the connection. What came beyond the answers that were read.
+    std::string read_to_end() {
+        boost::system::error_code ec;
+        const auto before = buffer_.data();
+        std::string beyond(static_cast<const char*>(before.data()), before.size());
+        buffer_.clear();
+        asio::read(socket_, asio::dynamic_buffer(beyond), ec);
+        return beyond;
+    }
     /// Bytes that came beyond the answers that were read.
     std::size_t unread() {
         boost::system::error_code ec;
@@ -133,7 +146,9 @@
 class Gateway {
   public:
     Gateway(const Setup& setup, Server& server)
-        : hall("p1", "a", dialect(setup.speech)), speech_(setup.speech) {
+        : hall("p1", "a", dialect(setup.speech), {}, {},
+               std::make_shared<budget::ProcessLimits>(setup.memory, 0)),
+          speech_(setup.speech) {
         pith::crypto_start();
         hall.policy(policy(setup));
         tide::Left left;
@@ -174,8 +189,9 @@
 
     static creed::PolicyPtr policy(const Setup& setup, int number = 1, const char* read_kind = "read") {
         const std::string timeout = std::to_string(setup.timeout_ms);
-        const std::string begin = "{\"number\":" + std::to_string(number) +
-                                  R"(,"limits":{"body_bytes":67108864},"services":[{"name":"s"}],"routes":[)";
+        const std::string begin = "{\"number\":" + std::to_string(number) + R"(,"limits":{"body_bytes":)" +
+                                  std::to_string(setup.body_bytes) +
+                                  R"(},"services":[{"name":"s"}],"routes":[)";
         const auto route = [&](const std::string& name, const std::string& match, const std::string& kind) {
             return R"({"name":")" + name + R"(",)" + match + R"(,"service":"s","kind":")" + kind +
                    R"(","timeout_ms":)" + timeout + "}";
